--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! callers
--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,8 @@
+//! Decision logic without I/O.
+//!
+//! Every function takes the current time as an argument and every random choice comes from a
+//! generator that the caller seeds, so the same inputs always give the same choices.
+
+pub mod ids;
+pub mod request_table;
+pub mod units;
--- /dev/null
+++ b/crates/endpoints/src/lib.rs
@@ -0,0 +1,1 @@
+//! endpoints
--- /dev/null
+++ b/crates/experiments/src/lib.rs
@@ -0,0 +1,1 @@
+//! experiments
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! operators
--- /dev/null
+++ b/crates/peers/src/message.rs
@@ -0,0 +1,268 @@
+//! Messages between entries and agents.
+
+use std::{net, time};
+
+use decisions::{ids, units};
+use serde::{Deserialize, Serialize};
+
+/// Version of the messages; peers of different versions refuse each other.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Longest time an agent holds a poll that has nothing to report.
+pub const POLL_WAIT: time::Duration = time::Duration::from_millis(500);
+/// Silence after which a connection or session is given up.
+pub const SILENCE_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Stream parts that the caller has not consumed before the agent stops reading from the engine.
+pub const STREAM_WINDOW: u64 = 256;
+
+/// First message of an entry.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    pub protocol: u32,
+    pub entry: ids::Incarnation,
+    pub data_centre: String,
+}
+
+/// Answer to [`Hello`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum HelloReply {
+    Welcome(Welcome),
+    /// The agent speaks another protocol version.
+    ProtocolMismatch {
+        agent_protocol: u32,
+    },
+    /// The agent takes no new sessions because it drains.
+    Leaving,
+}
+
+/// Session granted by an agent.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Welcome {
+    pub agent: ids::Incarnation,
+    pub session: ids::SessionId,
+    pub data_centre: String,
+    pub report: LoadReport,
+}
+
+/// Kind of work in a dispatch.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Work {
+    /// Body of a completion or chat request in JSON; the agent sets `model` and `stream`.
+    Completion {
+        route: CompletionRoute,
+        base_model: String,
+        adapter: ids::AdapterRef,
+        body: Vec<u8>,
+    },
+    /// Call of a plain service.
+    Service {
+        service: String,
+        method: String,
+        path: String,
+        content_type: Option<String>,
+        body: Vec<u8>,
+    },
+}
+
+/// `OpenAI` route of a completion.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CompletionRoute {
+    Completions,
+    ChatCompletions,
+}
+
+/// One request sent to an agent.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Dispatch {
+    pub session: ids::SessionId,
+    pub agent: ids::Incarnation,
+    pub request: ids::RequestId,
+    /// Replica behind the agent that the entry chose.
+    pub replica: u16,
+    pub priority: units::Priority,
+    pub operator: String,
+    /// Time left until the first token or the service's answer is due.
+    pub time_left: time::Duration,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// Keeps the whole answer for 10 min, for callers that repeat an idempotency key.
+    pub keep_answer: bool,
+    pub work: Work,
+}
+
+/// Answer to [`Dispatch`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum DispatchReply {
+    Accepted,
+    /// The request did not run and will not.
+    Refused {
+        reason: RefusalReason,
+        retry_after: time::Duration,
+    },
+    /// The id was dispatched before; the stream continues.
+    AlreadyKnown,
+}
+
+/// Reason for which an agent refuses a request; the request has not run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    AdapterUnavailable,
+    Cancelled,
+    DeadlineUnreachable,
+    Draining,
+    QueueFull,
+    SessionClosed,
+    Superseded,
+    UnknownService,
+    WrongBaseModel,
+    WrongIncarnation,
+}
+
+/// Progress of an entry on one stream. Both numbers are the index of the next part.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamAck {
+    pub request: ids::RequestId,
+    /// Next part that the entry has not received.
+    pub received: u64,
+    /// Next part that the caller has not taken; opens the stream's window.
+    pub consumed: u64,
+}
+
+/// Heartbeat of an entry that asks for the output of its streams.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Poll {
+    pub session: ids::SessionId,
+    pub acks: Vec<StreamAck>,
+    pub wait: time::Duration,
+    pub configuration_version: u64,
+    /// Load demand in the rest of the region, in adapters waiting.
+    pub demand: u32,
+}
+
+/// Answer to [`Poll`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum PollReply {
+    Events {
+        events: Vec<StreamEvent>,
+        report: Option<LoadReport>,
+        configuration_version: u64,
+    },
+    /// The session is unknown or closed; a new `hello` is needed.
+    SessionClosed,
+}
+
+/// One part of one stream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StreamEvent {
+    pub request: ids::RequestId,
+    /// Position of the part in its stream, from 0.
+    pub index: u64,
+    pub part: StreamPart,
+}
+
+/// Part of an answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StreamPart {
+    /// Status and content type of a service's answer.
+    Head {
+        status: u16,
+        content_type: Option<String>,
+    },
+    /// Generated text.
+    Text { text: String, tokens: u32 },
+    /// Bytes of a service's answer.
+    Bytes(Vec<u8>),
+    /// End of the answer.
+    Finished {
+        finish_reason: Option<String>,
+        prompt_tokens: u32,
+        completion_tokens: u32,
+    },
+    /// The answer ends without being complete.
+    Failed(StreamFailure),
+}
+
+/// How a stream failed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamFailure {
+    pub outcome: RunOutcome,
+    pub reason: FailureReason,
+    pub message: String,
+}
+
+/// Whether a failed request ran.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunOutcome {
+    NotRun,
+    Unknown,
+    Failed,
+}
+
+/// Reason for a failed stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureReason {
+    AdapterUnavailable,
+    Cancelled,
+    DeadlineUnreachable,
+    EndpointFailed,
+    EndpointRefused,
+    WrongAdapter,
+}
+
+/// Answer to a cancel.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CancelReply {
+    /// A tombstone prevents any later start.
+    NotRun,
+    Running,
+    Finished,
+    /// The agent is not the incarnation that was asked.
+    WrongIncarnation,
+}
+
+/// Load of all replicas behind one agent.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LoadReport {
+    /// Increases with every report of one incarnation.
+    pub sequence: u64,
+    pub leaving: bool,
+    pub replicas: Vec<ReplicaReport>,
+    pub services: Vec<String>,
+    /// Adapters that wait for a load at this agent.
+    pub waiting_loads: u32,
+}
+
+/// Load of one replica.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ReplicaReport {
+    pub replica: u16,
+    pub base_model: String,
+    pub ready: bool,
+    pub adapter_slots: u16,
+    /// Largest batch of the engine, in requests.
+    pub batch_limit: u16,
+    pub running: u16,
+    pub queued: u16,
+    /// Predicted wait of a new normal request, in milliseconds.
+    pub wait_millis: u32,
+    /// Adapters that are loaded, sorted.
+    pub adapters: Vec<ids::AdapterId>,
+    /// Adapters that are being loaded, sorted.
+    pub loading: Vec<ids::AdapterId>,
+}
+
+/// Configuration for a peer that starts while the log is down.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigurationImage {
+    pub version: u64,
+    /// Log offset up to which the image holds.
+    pub as_of: u64,
+    /// Serialized state of the `operators` package, in JSON.
+    pub state: Vec<u8>,
+}
+
+/// Address of an agent as an entry knows it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AgentAddress(pub net::SocketAddr);
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! cowslipdeal
