Serve one completion through entry, agent and engine

Cause: nothing served a request yet. Change: HTTP routes for callers, an entry that dispatches over tarpc, an agent with request table, adapter pins and resumable streams, an HTTP client for engines and a stand-in engine.

--- /dev/null
+++ b/crates/callers/src/handler.rs
@@ -0,0 +1,77 @@
+//! Interface between the HTTP routes and the entry.
+
+use std::time;
+
+use decisions::units;
+use futures::{future, stream};
+
+use crate::{completion, error};
+
+/// Parts of an answer in order; the last one is `Finished` or `Failed`.
+pub type AnswerStream = stream::BoxStream<'static, AnswerPart>;
+
+/// Part of an answer.
+#[derive(Debug)]
+pub enum AnswerPart {
+    /// Status and content type of a service's answer.
+    Head {
+        status: u16,
+        content_type: Option<String>,
+    },
+    /// Generated text.
+    Text(String),
+    /// Bytes of a service's answer.
+    Bytes(Vec<u8>),
+    /// End of the answer.
+    Finished {
+        finish_reason: Option<String>,
+        prompt_tokens: u32,
+        completion_tokens: u32,
+    },
+    /// The answer ends without being complete.
+    Failed(error::CallerError),
+}
+
+/// Headers that apply to every kind of request.
+#[derive(Clone, Debug, Default)]
+pub struct RequestOptions {
+    /// Time until the first token or a service's answer is due.
+    pub deadline: Option<time::Duration>,
+    pub priority: Option<units::Priority>,
+    pub idempotency_key: Option<String>,
+}
+
+/// Call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    pub service: String,
+    pub method: String,
+    pub path: String,
+    pub content_type: Option<String>,
+    pub options: RequestOptions,
+    pub body: Vec<u8>,
+}
+
+/// Entry as the routes see it.
+pub trait RequestHandler: Send + Sync {
+    /// Admits a completion and returns its answer.
+    fn complete(
+        &self,
+        request: completion::CompletionRequest,
+    ) -> future::BoxFuture<'_, Result<AnswerStream, error::CallerError>>;
+
+    /// Admits a call of a plain service and returns its answer.
+    fn call_service(
+        &self,
+        call: ServiceCall,
+    ) -> future::BoxFuture<'_, Result<AnswerStream, error::CallerError>>;
+
+    /// Whether the entry has a configuration and an endpoint, and does not drain.
+    fn is_ready(&self) -> bool;
+
+    /// Metrics in the Prometheus text format.
+    fn metrics(&self) -> String;
+
+    /// State for `cowslipdeal status`.
+    fn status(&self) -> serde_json::Value;
+}
--- /dev/null
+++ b/crates/callers/src/headers.rs
@@ -0,0 +1,73 @@
+//! Request headers: deadline, priority and idempotency key.
+
+use std::time;
+
+use decisions::units;
+use http::HeaderMap;
+
+use crate::{error, handler};
+
+/// Milliseconds until the first token or a service's answer is due.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// `low`, `normal` or `high`.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Key under which a request that must not be repeated runs at most once.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const MAX_KEY_BYTES: usize = 256;
+const MAX_DEADLINE_MILLIS: u64 = 3_600_000;
+
+/// Reads the options of a request.
+///
+/// # Errors
+/// [`error::CallerError`] that names the header and its allowed values.
+pub fn read_options(headers: &HeaderMap) -> Result<handler::RequestOptions, error::CallerError> {
+    Ok(handler::RequestOptions {
+        deadline: read_deadline(headers)?,
+        priority: read_priority(headers)?,
+        idempotency_key: read_key(headers)?,
+    })
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<time::Duration>, error::CallerError> {
+    let Some(value) = text(headers, DEADLINE_HEADER)? else {
+        return Ok(None);
+    };
+    match value.parse() {
+        Ok(millis @ 1..=MAX_DEADLINE_MILLIS) => Ok(Some(time::Duration::from_millis(millis))),
+        _ => Err(invalid(
+            "x-deadline-ms must be a whole number of milliseconds from 1 to 3600000",
+        )),
+    }
+}
+
+fn read_priority(headers: &HeaderMap) -> Result<Option<units::Priority>, error::CallerError> {
+    match text(headers, PRIORITY_HEADER)? {
+        None => Ok(None),
+        Some("low") => Ok(Some(units::Priority::Low)),
+        Some("normal") => Ok(Some(units::Priority::Normal)),
+        Some("high") => Ok(Some(units::Priority::High)),
+        Some(_) => Err(invalid("x-priority must be low, normal or high")),
+    }
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<String>, error::CallerError> {
+    match text(headers, IDEMPOTENCY_HEADER)? {
+        None => Ok(None),
+        Some(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) => Ok(Some(key.to_owned())),
+        Some(_) => Err(invalid("idempotency-key must have 1 to 256 characters")),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, error::CallerError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(value) => Ok(Some(value.trim())),
+        Err(_) => Err(invalid(&format!("{name} must be plain ASCII"))),
+    }
+}
+
+fn invalid(message: &str) -> error::CallerError {
+    error::CallerError::not_run(error::ErrorCode::InvalidRequest, message)
+}
--- /dev/null
+++ b/crates/callers/src/render.rs
@@ -0,0 +1,221 @@
+//! Answers in the `OpenAI` form and in the form of a plain service.
+
+use std::time;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use serde::Serialize;
+
+use crate::{
+    completion::CompletionKind,
+    error,
+    handler::{self, AnswerPart},
+};
+
+/// Renders the parts of one completion.
+pub struct CompletionRenderer {
+    kind: CompletionKind,
+    model: String,
+    created: u64,
+}
+
+/// Whole answer of a plain service.
+#[derive(Debug)]
+pub struct ServiceAnswer {
+    pub status: u16,
+    pub content_type: Option<String>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Serialize)]
+struct Chunk<'a> {
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Clone, Copy, Serialize)]
+struct Usage {
+    #[serde(rename = "prompt_tokens")]
+    prompt: u32,
+    #[serde(rename = "completion_tokens")]
+    completion: u32,
+    #[serde(rename = "total_tokens")]
+    total: u32,
+}
+
+impl CompletionRenderer {
+    /// Creates a renderer that repeats the caller's model name.
+    #[must_use]
+    pub fn new(kind: CompletionKind, model: &str) -> Self {
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        Self {
+            kind,
+            model: model.to_owned(),
+            created: since_epoch.map_or(0, |duration| duration.as_secs()),
+        }
+    }
+
+    /// Server-sent event of one part.
+    #[must_use]
+    pub fn event(&self, part: &AnswerPart) -> Bytes {
+        let event = match part {
+            AnswerPart::Text(text) => format!("data: {}\n\n", self.chunk(text, None, None)),
+            AnswerPart::Finished {
+                finish_reason,
+                prompt_tokens,
+                completion_tokens,
+            } => {
+                let usage = usage(*prompt_tokens, *completion_tokens);
+                let chunk = self.chunk("", finish_reason.as_deref(), Some(usage));
+                format!("data: {chunk}\n\ndata: [DONE]\n\n")
+            }
+            AnswerPart::Failed(error) => format!("data: {}\n\n", error.body()),
+            AnswerPart::Head { .. } | AnswerPart::Bytes(_) => String::new(),
+        };
+        Bytes::from(event)
+    }
+
+    /// Whole answer as one JSON object.
+    ///
+    /// # Errors
+    /// The error with which the answer failed.
+    pub async fn collect(
+        &self,
+        mut parts: handler::AnswerStream,
+    ) -> Result<String, error::CallerError> {
+        let mut text = String::new();
+        while let Some(part) = parts.next().await {
+            match part {
+                AnswerPart::Text(more) => text.push_str(&more),
+                AnswerPart::Finished {
+                    finish_reason,
+                    prompt_tokens,
+                    completion_tokens,
+                } => {
+                    let usage = usage(prompt_tokens, completion_tokens);
+                    return Ok(self.whole(&text, finish_reason.as_deref(), usage));
+                }
+                AnswerPart::Failed(error) => return Err(error),
+                AnswerPart::Head { .. } | AnswerPart::Bytes(_) => {}
+            }
+        }
+        Err(incomplete())
+    }
+
+    fn chunk(&self, text: &str, finish_reason: Option<&str>, usage: Option<Usage>) -> String {
+        let (object, text, delta) = match self.kind {
+            CompletionKind::Completion => ("text_completion", Some(text), None),
+            CompletionKind::Chat => ("chat.completion.chunk", None, Some(assistant(text))),
+        };
+        let choice = Choice {
+            index: 0,
+            text,
+            delta,
+            message: None,
+            finish_reason,
+        };
+        self.json(object, choice, usage)
+    }
+
+    fn whole(&self, text: &str, finish_reason: Option<&str>, usage: Usage) -> String {
+        let (object, text, message) = match self.kind {
+            CompletionKind::Completion => ("text_completion", Some(text), None),
+            CompletionKind::Chat => ("chat.completion", None, Some(assistant(text))),
+        };
+        let choice = Choice {
+            index: 0,
+            text,
+            delta: None,
+            message,
+            finish_reason,
+        };
+        self.json(object, choice, Some(usage))
+    }
+
+    fn json(&self, object: &'static str, choice: Choice<'_>, usage: Option<Usage>) -> String {
+        let chunk = Chunk {
+            object,
+            created: self.created,
+            model: &self.model,
+            choices: [choice],
+            usage,
+        };
+        serde_json::to_string(&chunk).unwrap_or_default()
+    }
+}
+
+/// Collects the whole answer of a service.
+///
+/// # Errors
+/// The error with which the answer failed.
+pub async fn collect_service(
+    mut parts: handler::AnswerStream,
+) -> Result<ServiceAnswer, error::CallerError> {
+    let mut answer = ServiceAnswer {
+        status: 200,
+        content_type: None,
+        body: Vec::new(),
+    };
+    while let Some(part) = parts.next().await {
+        match part {
+            AnswerPart::Head {
+                status,
+                content_type,
+            } => {
+                answer.status = status;
+                answer.content_type = content_type;
+            }
+            AnswerPart::Bytes(bytes) => answer.body.extend(bytes),
+            AnswerPart::Finished { .. } => return Ok(answer),
+            AnswerPart::Failed(error) => return Err(error),
+            AnswerPart::Text(_) => {}
+        }
+    }
+    Err(incomplete())
+}
+
+fn assistant(content: &str) -> Message<'_> {
+    Message {
+        role: "assistant",
+        content,
+    }
+}
+
+fn usage(prompt: u32, completion: u32) -> Usage {
+    Usage {
+        prompt,
+        completion,
+        total: prompt.saturating_add(completion),
+    }
+}
+
+fn incomplete() -> error::CallerError {
+    error::CallerError {
+        code: error::ErrorCode::OutcomeUnknown,
+        outcome: error::RequestOutcome::Unknown,
+        message: "the answer ended early; the request may have run".into(),
+        retry_after: None,
+    }
+}
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -1,1 +1,8 @@
-//! endpoints
+//! Endpoints: model engines and plain services.
+//!
+//! [`client::ModelEngine`] is the border towards an engine. The HTTP implementation speaks the
+//! `OpenAI` routes and the usual orders to load and unload adapters.
+
+pub mod client;
+pub mod http_engine;
+pub mod stand_in;
