Add metrics, numbered log events and session limits

Cause: each role needs the same metrics registry and event catalogue, and a connection found silent at the limit of a session would have lost its streams. Change: package telemetry with a catalogue test; sessions are suspended after 2 s and closed after 10 s.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -390,7 +390,7 @@
             batch_limit: worker.settings.batch_limit,
             running: 0,
             queued: 0,
-            wait_millis: 0,
+            wait_millis: [0; 3],
             adapters: worker.slots.resident(),
             loading: Vec::new(),
         });
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -78,6 +78,8 @@
             replica: 0,
             priority: options.priority.unwrap_or_default(),
             operator: String::new(),
+            operator_weight: 1,
+            prefix: 0,
             time_left: options.deadline.unwrap_or(self.settings.default_deadline),
             repeatable: true,
             keep_answer: false,
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -9,8 +9,11 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 /// Longest time an agent holds a poll that has nothing to report.
 pub const POLL_WAIT: time::Duration = time::Duration::from_millis(500);
-/// Silence after which a connection or session is given up.
+/// Silence after which a connection is replaced and a session is suspended. A suspended session
+/// accepts no dispatch until its entry polls again.
 pub const SILENCE_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Silence after which a session is closed and its streams are cancelled.
+pub const SESSION_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Stream parts that the caller has not consumed before the agent stops reading from the engine.
 pub const STREAM_WINDOW: u64 = 256;
 
@@ -80,6 +83,10 @@
     pub replica: u16,
     pub priority: units::Priority,
     pub operator: String,
+    /// Share of the operator relative to others of the same priority.
+    pub operator_weight: u32,
+    /// Hash of the start of the prompt, for grouping work with the same cached prefix.
+    pub prefix: u64,
     /// Time left until the first token or the service's answer is due.
     pub time_left: time::Duration,
     /// Whether the work may run more than once.
@@ -245,8 +252,8 @@
     pub batch_limit: u16,
     pub running: u16,
     pub queued: u16,
-    /// Predicted wait of a new normal request, in milliseconds.
-    pub wait_millis: u32,
+    /// Predicted wait of a new request by priority from low to high, in milliseconds.
+    pub wait_millis: [u32; 3],
     /// Adapters that are loaded, sorted.
     pub adapters: Vec<ids::AdapterId>,
     /// Adapters that are being loaded, sorted.
--- /dev/null
+++ b/crates/telemetry/src/logs.rs
@@ -0,0 +1,41 @@
+//! Log records with event numbers.
+
+use std::io;
+
+use slog::Drain;
+
+use crate::events;
+
+/// Records that wait for the writer; further ones are dropped and counted.
+const QUEUE_RECORDS: usize = 4096;
+
+/// Logger that writes JSON lines to standard error without blocking its callers.
+pub fn stderr_logger(role: &'static str, data_centre: &str) -> slog::Logger {
+    let drain = slog_json::Json::default(io::stderr()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE_RECORDS)
+        .build()
+        .fuse();
+    let fields = slog::o!("role" => role, "data_centre" => data_centre.to_owned());
+    slog::Logger::root(drain, fields)
+}
+
+/// Logger that drops all records.
+pub fn discard_logger() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// Writes an informational record.
+pub fn info(logger: &slog::Logger, event: events::LogEvent, message: &str) {
+    slog::info!(logger, "{message}"; "event" => event.number, "name" => event.name);
+}
+
+/// Writes a warning, for something that the system handles but an operator may want to know.
+pub fn warn(logger: &slog::Logger, event: events::LogEvent, message: &str) {
+    slog::warn!(logger, "{message}"; "event" => event.number, "name" => event.name);
+}
+
+/// Writes an error, for something that needs an operator.
+pub fn error(logger: &slog::Logger, event: events::LogEvent, message: &str) {
+    slog::error!(logger, "{message}"; "event" => event.number, "name" => event.name);
+}
