Add the load generator and its report

Cause: wrong, lost and doubled answers must be counted by the caller's side. Conclusion: a mixed-up answer of the same adapter is now visible.

--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -16,6 +16,7 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::{net::TcpListener, sync, task};
+use xxhash_rust::xxh3;
 
 use crate::{client, http_engine};
 
@@ -252,10 +253,29 @@
 #[derive(Deserialize)]
 struct GenerateBody {
     model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<ChatMessage>,
     #[serde(default = "default_max_tokens")]
     max_tokens: u32,
 }
 
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+impl GenerateBody {
+    /// Prompt, or the last message of a chat.
+    fn input(&self) -> &str {
+        match self.messages.last() {
+            Some(message) => &message.content,
+            None => &self.prompt,
+        }
+    }
+}
+
 fn default_max_tokens() -> u32 {
     16
 }
@@ -294,8 +314,10 @@
         state,
         _permit: permit,
     };
+    let prompt = body.input().to_owned();
     let tokens = futures::stream::unfold((0, running), move |(index, running)| {
         let model = body.model.clone();
+        let prompt = prompt.clone();
         async move {
             if index > body.max_tokens {
                 return None;
@@ -303,7 +325,7 @@
             if index < body.max_tokens {
                 tokio::time::sleep(step).await;
             }
-            let event = event(&model, index, body.max_tokens, chat);
+            let event = event(&model, &prompt, index, body.max_tokens, chat);
             let frame = Frame::data(Bytes::from(event));
             Some((Ok::<_, Infallible>(frame), (index + 1, running)))
         }
@@ -316,20 +338,21 @@
     response
 }
 
-/// Text of token `index` of an answer by `model`.
+/// Text of token `index` of the answer of `model` to `prompt`.
 #[must_use]
-pub fn token_text(model: &str, index: u32) -> String {
-    format!("{model}:{index} ")
+pub fn token_text(model: &str, prompt: &str, index: u32) -> String {
+    let hash = xxh3::xxh3_64(prompt.as_bytes());
+    format!("{model}:{hash:016x}:{index} ")
 }
 
-fn event(model: &str, index: u32, max_tokens: u32, chat: bool) -> String {
+fn event(model: &str, prompt: &str, index: u32, max_tokens: u32, chat: bool) -> String {
     if index == max_tokens {
         let usage = serde_json::json!({"prompt_tokens": 1, "completion_tokens": max_tokens});
         let choice = serde_json::json!({"index": 0, "text": "", "finish_reason": "length"});
         let chunk = serde_json::json!({"model": model, "choices": [choice], "usage": usage});
         return format!("data: {chunk}\n\ndata: [DONE]\n\n");
     }
-    let text = token_text(model, index);
+    let text = token_text(model, prompt, index);
     let choice = if chat {
         serde_json::json!({"index": 0, "delta": {"content": text}})
     } else {
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,197 @@
+//! HTTP client of the load generator.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{self, connect},
+    rt,
+};
+use serde::Deserialize;
+
+/// Time after which an answer that makes no progress counts as lost.
+const STALL_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Client for entries.
+pub struct LoadClient {
+    client: legacy::Client<connect::HttpConnector, Full<Bytes>>,
+}
+
+/// Streamed answer as the caller saw it.
+#[derive(Debug, Default)]
+pub struct StreamedAnswer {
+    pub texts: Vec<String>,
+    pub done: bool,
+    pub error: Option<AnswerError>,
+    pub first_token: Option<time::Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<time::Duration>,
+}
+
+/// Error that an entry answered.
+#[derive(Clone, Debug, Deserialize)]
+pub struct AnswerError {
+    pub code: String,
+    pub outcome: String,
+    pub message: String,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: AnswerError,
+}
+
+#[derive(Deserialize)]
+struct ChunkBody {
+    choices: Vec<ChunkChoice>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+impl Default for LoadClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl LoadClient {
+    /// Creates a client; connections are opened on demand.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
+        Self { client }
+    }
+
+    /// Sends a streamed completion and collects its answer.
+    pub async fn complete(
+        &self,
+        entry: net::SocketAddr,
+        body: &serde_json::Value,
+        deadline: time::Duration,
+    ) -> StreamedAnswer {
+        let mut answer = StreamedAnswer::default();
+        let request = Request::post(format!("http://{entry}/v1/completions"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("x-deadline-ms", deadline.as_millis().to_string())
+            .body(Full::new(Bytes::from(body.to_string())));
+        let sent = time::Instant::now();
+        let outcome = match request {
+            Ok(request) => self.read(request, sent, &mut answer).await,
+            Err(error) => Err(error.to_string()),
+        };
+        if let Err(message) = outcome
+            && answer.error.is_none()
+        {
+            answer.error = Some(connection_error(message));
+        }
+        answer
+    }
+
+    /// Sends a request and returns its status and whole body.
+    ///
+    /// # Errors
+    /// The message of the connection error.
+    pub async fn call(&self, request: Request<Full<Bytes>>) -> Result<(u16, Bytes), String> {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok((status, body.to_bytes()))
+    }
+
+    async fn read(
+        &self,
+        request: Request<Full<Bytes>>,
+        sent: time::Instant,
+        answer: &mut StreamedAnswer,
+    ) -> Result<(), String> {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            let body: ErrorBody =
+                serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+            answer.error = Some(body.error);
+            return Ok(());
+        }
+        read_events(response.into_body(), sent, answer).await
+    }
+}
+
+async fn read_events(
+    mut body: Incoming,
+    sent: time::Instant,
+    answer: &mut StreamedAnswer,
+) -> Result<(), String> {
+    let mut buffer = Vec::new();
+    let mut last = sent;
+    loop {
+        let frame = tokio::time::timeout(STALL_LIMIT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| "the answer stalled".to_owned())? else {
+            return Ok(());
+        };
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.extend_from_slice(&data);
+        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = buffer.drain(..=end).collect();
+            let Some(data) = line.strip_prefix(b"data:") else {
+                continue;
+            };
+            take_event(data.trim_ascii(), sent, &mut last, answer)?;
+        }
+    }
+}
+
+fn take_event(
+    data: &[u8],
+    sent: time::Instant,
+    last: &mut time::Instant,
+    answer: &mut StreamedAnswer,
+) -> Result<(), String> {
+    if data == b"[DONE]" {
+        answer.done = true;
+        return Ok(());
+    }
+    if let Ok(body) = serde_json::from_slice::<ErrorBody>(data) {
+        answer.error = Some(body.error);
+        return Ok(());
+    }
+    let chunk: ChunkBody = serde_json::from_slice(data).map_err(|error| error.to_string())?;
+    let Some(choice) = chunk.choices.into_iter().next() else {
+        return Ok(());
+    };
+    if choice.finish_reason.is_some() {
+        return Ok(());
+    }
+    let now = time::Instant::now();
+    if answer.first_token.is_none() {
+        answer.first_token = Some(now - sent);
+    } else {
+        answer.gaps.push(now - *last);
+    }
+    *last = now;
+    answer.texts.push(choice.text);
+    Ok(())
+}
+
+fn connection_error(message: String) -> AnswerError {
+    AnswerError {
+        code: "connection".into(),
+        outcome: "unknown".into(),
+        message,
+    }
+}
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,231 @@
+//! Report of a load run.
+
+use std::{collections::BTreeMap, fmt, time};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Largest recorded time, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// Verdict on one answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AnswerVerdict {
+    Answered,
+    /// The entry said that the request did not run.
+    Refused(String),
+    /// The entry said that the request failed after it ran.
+    Failed(String),
+    /// The caller cannot tell whether the request ran, or the answer is incomplete.
+    Lost(String),
+    /// Text of another request, adapter or version.
+    Wrong,
+    /// More text than the request asked for.
+    Doubled,
+}
+
+/// Measured answer.
+#[derive(Clone, Debug)]
+pub struct AnswerRecord {
+    pub verdict: AnswerVerdict,
+    pub first_token: Option<time::Duration>,
+    pub gaps: Vec<time::Duration>,
+    pub tokens: usize,
+    pub is_long: bool,
+}
+
+/// Quantiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TimeQuantiles {
+    pub p50: f64,
+    pub p95: f64,
+    pub p99: f64,
+}
+
+/// Counts and times of a load run.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    pub requests: u64,
+    pub answered: u64,
+    pub refused: BTreeMap<String, u64>,
+    pub failed: BTreeMap<String, u64>,
+    pub lost: u64,
+    pub lost_reasons: BTreeMap<String, u64>,
+    pub wrong: u64,
+    pub doubled: u64,
+    /// Adapter loads that requests waited for.
+    pub load_stalls: u64,
+    pub tokens: u64,
+    pub tokens_per_second: f64,
+    pub seconds: f64,
+    pub first_token_ms: TimeQuantiles,
+    pub between_tokens_ms: TimeQuantiles,
+    #[serde(skip)]
+    first_token: Histogram<u64>,
+    #[serde(skip)]
+    gaps: Histogram<u64>,
+}
+
+impl Default for LoadReport {
+    fn default() -> Self {
+        Self {
+            requests: 0,
+            answered: 0,
+            refused: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            lost: 0,
+            lost_reasons: BTreeMap::new(),
+            wrong: 0,
+            doubled: 0,
+            load_stalls: 0,
+            tokens: 0,
+            tokens_per_second: 0.0,
+            seconds: 0.0,
+            first_token_ms: TimeQuantiles::default(),
+            between_tokens_ms: TimeQuantiles::default(),
+            first_token: histogram(),
+            gaps: histogram(),
+        }
+    }
+}
+
+impl LoadReport {
+    /// Adds one answer.
+    pub fn record(&mut self, answer: &AnswerRecord) {
+        self.requests += 1;
+        self.tokens += answer.tokens as u64;
+        match &answer.verdict {
+            AnswerVerdict::Answered => self.answered += 1,
+            AnswerVerdict::Refused(reason) => count(&mut self.refused, reason),
+            AnswerVerdict::Failed(reason) => count(&mut self.failed, reason),
+            AnswerVerdict::Lost(reason) => {
+                self.lost += 1;
+                count(&mut self.lost_reasons, reason);
+            }
+            AnswerVerdict::Wrong => self.wrong += 1,
+            AnswerVerdict::Doubled => self.doubled += 1,
+        }
+        if let Some(first_token) = answer.first_token {
+            self.first_token.saturating_record(micros(first_token));
+        }
+        for gap in &answer.gaps {
+            self.gaps.saturating_record(micros(*gap));
+        }
+    }
+
+    /// Fills in the derived figures.
+    pub fn finish(&mut self, elapsed: time::Duration) {
+        self.seconds = elapsed.as_secs_f64();
+        #[expect(clippy::cast_precision_loss, reason = "fewer than 2^52 tokens")]
+        let tokens = self.tokens as f64;
+        self.tokens_per_second = tokens / self.seconds.max(f64::EPSILON);
+        self.first_token_ms = quantiles(&self.first_token);
+        self.between_tokens_ms = quantiles(&self.gaps);
+    }
+
+    /// Whether no answer was lost, doubled or wrong.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.lost == 0 && self.doubled == 0 && self.wrong == 0
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "requests            {:>10}", self.requests)?;
+        writeln!(formatter, "answered            {:>10}", self.answered)?;
+        write_counts(formatter, "refused", &self.refused)?;
+        write_counts(formatter, "failed", &self.failed)?;
+        writeln!(formatter, "wrong adapter       {:>10}", self.wrong)?;
+        writeln!(formatter, "lost                {:>10}", self.lost)?;
+        write_counts(formatter, "lost", &self.lost_reasons)?;
+        writeln!(formatter, "doubled             {:>10}", self.doubled)?;
+        writeln!(formatter, "load stalls         {:>10}", self.load_stalls)?;
+        let rate = self.tokens_per_second;
+        writeln!(
+            formatter,
+            "tokens              {:>10}  ({rate:.0}/s)",
+            self.tokens
+        )?;
+        write_quantiles(formatter, "first token", &self.first_token_ms)?;
+        write_quantiles(formatter, "between tokens", &self.between_tokens_ms)
+    }
+}
+
+fn write_counts(
+    formatter: &mut fmt::Formatter<'_>,
+    label: &str,
+    counts: &BTreeMap<String, u64>,
+) -> fmt::Result {
+    for (reason, number) in counts {
+        writeln!(formatter, "  {label}: {reason:<24} {number:>6}")?;
+    }
+    Ok(())
+}
+
+fn write_quantiles(
+    formatter: &mut fmt::Formatter<'_>,
+    label: &str,
+    quantiles: &TimeQuantiles,
+) -> fmt::Result {
+    let TimeQuantiles { p50, p95, p99 } = quantiles;
+    writeln!(
+        formatter,
+        "{label:<18}  p50 {p50:.1} ms  p95 {p95:.1} ms  p99 {p99:.1} ms"
+    )
+}
+
+fn count(counts: &mut BTreeMap<String, u64>, reason: &str) {
+    *counts.entry(reason.to_owned()).or_default() += 1;
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_MICROS, 3).expect("constant bounds are valid")
+}
+
+fn micros(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(MAX_MICROS)
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> TimeQuantiles {
+    #[expect(clippy::cast_precision_loss, reason = "at most 600 s in microseconds")]
+    let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    TimeQuantiles {
+        p50: millis(0.5),
+        p95: millis(0.95),
+        p99: millis(0.99),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn record(verdict: AnswerVerdict) -> AnswerRecord {
+        AnswerRecord {
+            verdict,
+            first_token: Some(time::Duration::from_millis(10)),
+            gaps: vec![time::Duration::from_millis(5)],
+            tokens: 2,
+            is_long: false,
+        }
+    }
+
+    // Guards against a report that hides a lost, doubled or wrong answer.
+    #[test]
+    fn only_whole_single_and_right_answers_are_clean() {
+        let mut report = LoadReport::default();
+        report.record(&record(AnswerVerdict::Answered));
+        report.record(&record(AnswerVerdict::Refused("overloaded".into())));
+        assert!(report.is_clean());
+        for verdict in [
+            AnswerVerdict::Lost("incomplete".into()),
+            AnswerVerdict::Doubled,
+            AnswerVerdict::Wrong,
+        ] {
+            let mut report = LoadReport::default();
+            report.record(&record(verdict));
+            assert!(!report.is_clean());
+        }
+    }
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -65,7 +65,7 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
     for index in 0..5 {
-        let token = stand_in::token_text("notes@3", index);
+        let token = stand_in::token_text("notes@3", "hello", index);
         assert!(response.contains(&token), "{response}");
     }
     assert!(response.contains("[DONE]"), "{response}");
