--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! Arguments of the command line.
 
-use clap::{Arg, Command};
+use clap::{Arg, ArgAction, Command};
 
 /// Argument parser of the binary.
 #[must_use]
@@ -10,6 +10,7 @@
         .about("Serving layer for very many LoRA adapters")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo())
         .subcommand(
             role("entry", "Serves callers and dispatches to agents")
                 .after_help("Example: cowslipdeal entry --settings examples/entry.yaml"),
@@ -28,3 +29,17 @@
         .help("YAML settings of this process");
     Command::new(name).about(about).arg(settings)
 }
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Starts everything on loopback, sends a bounded load and reports")
+        .arg(json_flag())
+        .after_help("Example: cowslipdeal demo --json")
+}
+
+fn json_flag() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Prints the report as JSON")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod client;
+pub mod demo;
 pub mod load;
 pub mod report;
 pub mod run;
--- a/src/run.rs
+++ b/src/run.rs
@@ -8,7 +8,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{runtime, signal::unix};
 
-use crate::settings;
+use crate::{demo, report, settings};
 
 /// Reason why a subcommand failed.
 #[derive(Debug, Snafu)]
@@ -19,6 +19,8 @@
     Agent { source: AgentError },
     #[snafu(display("{source}"))]
     Entry { source: EntryError },
+    #[snafu(display("{source}"))]
+    Demo { source: demo::DemoError },
     #[snafu(display("cannot start the runtime: {source}"))]
     Runtime { source: io::Error },
 }
@@ -32,6 +34,7 @@
     match matches.subcommand() {
         Some(("entry", arguments)) => runtime.block_on(run_entry(settings_path(arguments))),
         Some(("agent", arguments)) => runtime.block_on(run_agent(settings_path(arguments))),
+        Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
         _ => Ok(process::ExitCode::from(2)),
     }
 }
@@ -58,6 +61,38 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+async fn run_demo(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    let report = demo::run(show_progress).await.context(DemoSnafu)?;
+    print_report(&report, arguments.get_flag("json"));
+    Ok(exit_code(report.is_clean()))
+}
+
+fn show_progress(finished: usize, total: usize) {
+    let step = (total / 10).max(1);
+    if finished.is_multiple_of(step) || finished == total {
+        eprintln!("{finished} of {total} requests finished");
+    }
+}
+
+fn print_report(report: &report::LoadReport, is_json: bool) {
+    if is_json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(report).unwrap_or_default()
+        );
+    } else {
+        print!("{report}");
+    }
+}
+
+fn exit_code(success: bool) -> process::ExitCode {
+    if success {
+        process::ExitCode::SUCCESS
+    } else {
+        process::ExitCode::FAILURE
+    }
+}
+
 async fn wait_for_signal() -> io::Result<()> {
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
