Compare endpoints with their peers to find stragglers

Cause: load reports show a straggler late (2 s in the workloads), and a stalled endpoint produces no times that could be measured. Change: weighted first-token and between-token times per endpoint against the median of the peers, a silent request as an observation before it ends, gradual reinstatement by one probe per 500 ms. Figures: under virtual time four first-token times at 5 medians within 1 s give a factor above 2; one outlier gives 1; 16 probes in 8 s bring the factor back to 1. Conclusion: found within about 1 s once an entry has a few observations.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,5 +4,7 @@
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
 pub mod ids;
+pub mod peer_times;
 pub mod request_table;
+pub mod stragglers;
 pub mod units;
