Choose endpoints by predicted time to the first token

Cause: the entry needs one selection at a bounded cost that keeps an adapter's requests together and loads a copy only when that is quicker. Change: trait RoutingPolicy and the policy WaitRouting over an endpoint table, an index from adapter to holders in rendezvous order, a hash ring for endpoints without the adapter and an estimate of load times.

--- /dev/null
+++ b/crates/decisions/src/candidates.rs
@@ -0,0 +1,144 @@
+//! Cost of the endpoints that may take a request.
+
+use std::time;
+
+use crate::{endpoint_state, endpoint_table, hash_ring, routing, units};
+
+/// Cost of a full batch beside the predicted wait, so that new copies go to idle endpoints.
+const FULL_BATCH_COST: time::Duration = time::Duration::from_millis(40);
+/// Endpoint that may take a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub slot: usize,
+    pub rank: u64,
+    pub state: routing::AdapterState,
+    /// Predicted time in the queue and for loading the adapter.
+    pub wait: time::Duration,
+    /// Predicted time to the first token.
+    pub first_token: time::Duration,
+    pub cost: time::Duration,
+}
+
+/// Values that are the same for all candidates of one choice.
+#[derive(Clone, Copy)]
+pub struct Prediction<'a> {
+    pub table: &'a endpoint_table::EndpointTable,
+    pub request: &'a routing::RoutingRequest<'a>,
+    pub model: usize,
+    pub load_time: time::Duration,
+    pub request_time: time::Duration,
+    pub first_token: time::Duration,
+    pub now: units::Timestamp,
+}
+
+impl Prediction<'_> {
+    /// Whether the endpoint may take the request.
+    #[must_use]
+    pub fn is_usable(&self, slot: usize) -> bool {
+        self.table.state(slot).is_some_and(|state| {
+            state.model == Some(self.model)
+                && state.takes_work()
+                && !self.request.exclude.contains(&state.endpoint)
+        })
+    }
+
+    /// Whether the endpoint holds or loads the adapter.
+    #[must_use]
+    pub fn is_holder(&self, slot: usize) -> bool {
+        self.table
+            .state(slot)
+            .is_some_and(|state| state.held(self.request.adapter).is_some())
+    }
+
+    /// Cost of an endpoint, `None` when it may not take the request.
+    #[must_use]
+    pub fn candidate(&self, slot: usize) -> Option<Candidate> {
+        if !self.is_usable(slot) {
+            return None;
+        }
+        let state = self.table.state(slot)?;
+        let (adapter_state, load_wait) = self.load_wait(state);
+        let queue_wait = self.queue_wait(state);
+        let stragglers = &self.table.group(self.model).stragglers;
+        let slowness = stragglers.slowness(state.endpoint, self.now);
+        // The agent loads while the request queues, so the longer of both counts.
+        let wait = queue_wait.max(load_wait);
+        let first_token = (queue_wait + self.first_token)
+            .mul_f64(slowness)
+            .max(load_wait + self.first_token.mul_f64(slowness))
+            + state.distance * 2;
+        let filled = f64::from(state.outstanding()) / f64::from(state.batch_limit);
+        Some(Candidate {
+            slot,
+            rank: hash_ring::rank(self.request.adapter, state.endpoint),
+            state: adapter_state,
+            wait,
+            first_token,
+            cost: first_token
+                + FULL_BATCH_COST.mul_f64(filled.min(1.0))
+                + self.eviction_cost(state, adapter_state),
+        })
+    }
+
+    /// Time until a new request enters the batch.
+    fn queue_wait(&self, state: &endpoint_state::EndpointState) -> time::Duration {
+        let free = state.batch_limit.saturating_sub(state.occupied);
+        let behind = state.unreported().saturating_sub(free);
+        let turns = f64::from(behind) / f64::from(state.batch_limit);
+        state.wait + self.request_time.mul_f64(turns)
+    }
+
+    fn load_wait(
+        &self,
+        state: &endpoint_state::EndpointState,
+    ) -> (routing::AdapterState, time::Duration) {
+        let Some(held) = state.held(self.request.adapter) else {
+            return (routing::AdapterState::Absent, self.load_time);
+        };
+        if held.state == endpoint_state::HeldState::Loaded {
+            return (routing::AdapterState::Loaded, time::Duration::ZERO);
+        }
+        // A load that takes longer than estimated is never treated as done.
+        let left = self
+            .load_time
+            .saturating_sub(self.now.since(held.since))
+            .max(self.load_time / 8);
+        (routing::AdapterState::Loading, left)
+    }
+
+    /// Cost of making room for the adapter.
+    fn eviction_cost(
+        &self,
+        state: &endpoint_state::EndpointState,
+        adapter_state: routing::AdapterState,
+    ) -> time::Duration {
+        let has_free_slot = state.held.len() < state.adapter_slots;
+        if adapter_state != routing::AdapterState::Absent || has_free_slot {
+            return time::Duration::ZERO;
+        }
+        // Reports do not say which adapters are pinned; each request pins at most one.
+        let busy = usize::try_from(state.outstanding()).unwrap_or(usize::MAX);
+        if busy < state.adapter_slots {
+            // The evicted adapter may have to be loaded again by a later request.
+            return self.load_time / 4;
+        }
+        // A slot frees up when one of the running requests ends.
+        self.request_time / state.outstanding().max(1) + self.load_time
+    }
+}
+
+/// Lowest cost of the candidates.
+#[must_use]
+pub fn lowest_cost(candidates: &[Candidate]) -> Option<time::Duration> {
+    candidates.iter().map(|candidate| candidate.cost).min()
+}
+
+/// First candidate whose cost is within the margin of the lowest.
+#[must_use]
+pub fn preferred(candidates: &[Candidate], margin: time::Duration) -> Option<Candidate> {
+    let lowest = lowest_cost(candidates)?;
+    candidates
+        .iter()
+        .find(|candidate| candidate.cost <= lowest + margin)
+        .copied()
+}
--- /dev/null
+++ b/crates/decisions/src/endpoint_state.rs
@@ -0,0 +1,202 @@
+//! One endpoint as an entry sees it: the last report and the entry's own requests since then.
+
+use std::{mem, time};
+
+use crate::{ids, routing, units};
+
+/// Delay after which a dispatch surely shows in a report; covers the way to the agent's queue.
+const REPORT_SKEW: time::Duration = time::Duration::from_millis(10);
+/// Time after which an adapter that no report shows is no longer expected to be loaded.
+const PENDING_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Whether an adapter is usable at an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeldState {
+    Loaded,
+    Loading,
+    /// A request that causes a load was sent, and no report shows the load yet.
+    Expected,
+}
+
+/// Adapter at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldAdapter {
+    pub adapter: ids::AdapterId,
+    pub state: HeldState,
+    /// Time at which this entry learned of the adapter here.
+    pub since: units::Timestamp,
+}
+
+/// Request that may be missing from the last report.
+#[derive(Clone, Copy, Debug)]
+struct RecentDispatch {
+    request: ids::RequestId,
+    sent: units::Timestamp,
+}
+
+/// One endpoint as this entry sees it.
+#[derive(Debug)]
+pub struct EndpointState {
+    pub endpoint: ids::EndpointId,
+    pub distance: time::Duration,
+    /// Position of the base model, unknown before the first report.
+    pub model: Option<usize>,
+    pub ready: bool,
+    pub leaving: bool,
+    pub adapter_slots: usize,
+    /// Requests in the batch and queue according to the last report.
+    pub occupied: u32,
+    pub batch_limit: u32,
+    pub wait: time::Duration,
+    /// Adapters here, sorted.
+    pub held: Vec<HeldAdapter>,
+    /// Time of the last report.
+    as_of: units::Timestamp,
+    recent: Vec<RecentDispatch>,
+}
+
+impl EndpointState {
+    /// Endpoint without a report.
+    #[must_use]
+    pub fn new(place: &routing::EndpointPlace) -> Self {
+        Self {
+            endpoint: place.endpoint,
+            distance: place.distance,
+            model: None,
+            ready: false,
+            leaving: false,
+            adapter_slots: 0,
+            occupied: 0,
+            batch_limit: 1,
+            wait: time::Duration::ZERO,
+            held: Vec::new(),
+            as_of: units::Timestamp::default(),
+            recent: Vec::new(),
+        }
+    }
+
+    /// Adapter here, if it is held or expected.
+    #[must_use]
+    pub fn held(&self, adapter: ids::AdapterId) -> Option<&HeldAdapter> {
+        let position = position_of(&self.held, adapter).ok()?;
+        Some(&self.held[position])
+    }
+
+    /// Requests in the batch and queue, with those sent since the report.
+    #[must_use]
+    pub fn outstanding(&self) -> u32 {
+        self.occupied.saturating_add(self.unreported())
+    }
+
+    /// Requests sent since the report.
+    #[must_use]
+    pub fn unreported(&self) -> u32 {
+        u32::try_from(self.recent.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether the endpoint takes new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.ready && !self.leaving
+    }
+
+    /// Counts a request that the last report does not include.
+    pub fn sent(&mut self, request: ids::RequestId, now: units::Timestamp) {
+        self.recent.push(RecentDispatch { request, sent: now });
+    }
+
+    /// Stops counting a request that has ended.
+    pub fn ended(&mut self, request: ids::RequestId) {
+        self.recent.retain(|dispatch| dispatch.request != request);
+    }
+
+    /// Expects a load; false when the adapter is held or expected already.
+    pub fn expect(&mut self, adapter: ids::AdapterId, now: units::Timestamp) -> bool {
+        let Err(position) = position_of(&self.held, adapter) else {
+            return false;
+        };
+        let held = HeldAdapter {
+            adapter,
+            state: HeldState::Expected,
+            since: now,
+        };
+        self.held.insert(position, held);
+        true
+    }
+
+    /// Stops expecting a load; false when none was expected.
+    pub fn give_up(&mut self, adapter: ids::AdapterId) -> bool {
+        let Ok(position) = position_of(&self.held, adapter) else {
+            return false;
+        };
+        if self.held[position].state != HeldState::Expected {
+            return false;
+        }
+        self.held.remove(position);
+        true
+    }
+
+    /// Replaces the load by that of the report and returns the adapters known before; `None` when
+    /// the report is older than the last.
+    pub fn take_over(
+        &mut self,
+        view: &routing::EndpointView,
+        model: usize,
+        now: units::Timestamp,
+    ) -> Option<Vec<HeldAdapter>> {
+        if view.as_of < self.as_of {
+            return None;
+        }
+        self.model = Some(model);
+        self.as_of = view.as_of;
+        self.ready = view.ready;
+        // A leaving endpoint never comes back under the same incarnation.
+        self.leaving |= view.leaving;
+        self.adapter_slots = usize::from(view.adapter_slots);
+        self.occupied = u32::from(view.running) + u32::from(view.queued);
+        self.batch_limit = u32::from(view.batch_limit.max(1));
+        self.wait = view.wait;
+        let included = REPORT_SKEW + self.distance;
+        self.recent
+            .retain(|dispatch| dispatch.sent + included > view.as_of);
+        let after = self.reported_adapters(view, now);
+        Some(mem::replace(&mut self.held, after))
+    }
+
+    fn reported_adapters(
+        &self,
+        view: &routing::EndpointView,
+        now: units::Timestamp,
+    ) -> Vec<HeldAdapter> {
+        let loaded = view.loaded.iter().map(|id| (*id, HeldState::Loaded));
+        let loading = view.loading.iter().map(|id| (*id, HeldState::Loading));
+        let reported = loaded.chain(loading).map(|(adapter, state)| HeldAdapter {
+            adapter,
+            state,
+            since: self.held(adapter).map_or(now, |held| held.since),
+        });
+        let expected = self.held.iter().filter(|held| {
+            held.state == HeldState::Expected && view.as_of.since(held.since) < PENDING_LIMIT
+        });
+        let mut adapters: Vec<HeldAdapter> = reported.chain(expected.copied()).collect();
+        // The sort is stable, so of two entries for an adapter the reported one stays.
+        adapters.sort_by_key(|held| held.adapter);
+        adapters.dedup_by_key(|held| held.adapter);
+        adapters
+    }
+}
+
+/// Position of an adapter in a sorted list.
+///
+/// # Errors
+/// The position at which the adapter would be inserted.
+pub fn position_of(held: &[HeldAdapter], adapter: ids::AdapterId) -> Result<usize, usize> {
+    held.binary_search_by_key(&adapter, |held| held.adapter)
+}
+
+/// Loads in flight or expected.
+#[must_use]
+pub fn count_loading(held: &[HeldAdapter]) -> u32 {
+    let loading = held.iter().filter(|held| held.state != HeldState::Loaded);
+    u32::try_from(loading.count()).unwrap_or(u32::MAX)
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,8 +3,15 @@
 //! Every function takes the current time as an argument and every random choice comes from a
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
+pub mod candidates;
+pub mod endpoint_state;
+pub mod endpoint_table;
+pub mod hash_ring;
 pub mod ids;
+pub mod load_times;
 pub mod peer_times;
 pub mod request_table;
+pub mod routing;
 pub mod stragglers;
 pub mod units;
+pub mod wait_routing;
