Combine list, reports and connections into a membership state

Cause: the instance list lags, and an agent that leaves must get no new work 3 s after the first sign. Change: membership table by address with incarnations; the agent's own word is final for its incarnation, a sign from the list ends only after the list's lag of 10 s, a lost connection pauses new work at once.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hash_ring;
 pub mod ids;
 pub mod load_times;
+pub mod membership;
 pub mod peer_times;
 pub mod request_table;
 pub mod routing;
