Bound retries and hedges by budgets

Cause: retries multiply the load when many attempts fail at once, and a request that may have run must not run again. Change: budgets fed by first attempts (10% retries, 5% hedges), typed reasons and refusals, hedge delay from the 0.95 quantile of recent first tokens (hdrhistogram, two windows of 10 s). Figures: 10,000 first attempts that all fail give 1,000 to 1,100 retries. Conclusion: budgets and rules hold in unit tests.

--- /dev/null
+++ b/crates/decisions/src/latency_window.rs
@@ -0,0 +1,110 @@
+//! Distribution of recent times.
+//!
+//! Two histograms follow each other, so that a quantile covers between one and two spans and old
+//! times leave it without being stored one by one.
+
+use std::{mem, time};
+
+use hdrhistogram::Histogram;
+
+use crate::units;
+
+/// Time that one histogram covers.
+const SPAN: time::Duration = time::Duration::from_secs(10);
+/// Longest time that is told apart from longer ones, in microseconds.
+const LONGEST: u64 = 60_000_000;
+/// Significant digits of the recorded times; two keep a window at about 40 KiB.
+const DIGITS: u8 = 2;
+
+/// Recent times.
+#[derive(Debug)]
+pub struct LatencyWindow {
+    current: Histogram<u64>,
+    previous: Histogram<u64>,
+    started: units::Timestamp,
+}
+
+impl LatencyWindow {
+    /// Window without times.
+    #[must_use]
+    pub fn new(now: units::Timestamp) -> Self {
+        Self {
+            current: histogram(),
+            previous: histogram(),
+            started: now,
+        }
+    }
+
+    /// Adds one time.
+    pub fn record(&mut self, taken: time::Duration, now: units::Timestamp) {
+        self.rotate(now);
+        let micros = u64::try_from(taken.as_micros()).unwrap_or(u64::MAX);
+        self.current.saturating_record(micros.max(1));
+    }
+
+    /// Time that the given share does not exceed; `None` with fewer than `samples` times.
+    ///
+    /// The fuller histogram answers, so that a new span does not start with a few times.
+    #[must_use]
+    pub fn quantile(
+        &self,
+        share: f64,
+        samples: u64,
+        now: units::Timestamp,
+    ) -> Option<time::Duration> {
+        if now.since(self.started) >= SPAN * 2 {
+            return None;
+        }
+        let source = if self.current.len() >= self.previous.len() {
+            &self.current
+        } else {
+            &self.previous
+        };
+        if source.len() < samples {
+            return None;
+        }
+        let micros = source.value_at_quantile(share);
+        Some(time::Duration::from_micros(micros))
+    }
+
+    fn rotate(&mut self, now: units::Timestamp) {
+        let age = now.since(self.started);
+        if age < SPAN {
+            return;
+        }
+        if age >= SPAN * 2 {
+            self.current.reset();
+        }
+        mem::swap(&mut self.current, &mut self.previous);
+        self.current.reset();
+        self.started = now;
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    // The bounds are constants for which the constructor cannot fail.
+    Histogram::new_with_bounds(1, LONGEST, DIGITS).expect("constant bounds are valid")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a quantile that keeps old times after the latency has changed.
+    #[test]
+    fn old_times_leave_the_window() {
+        let start = units::Timestamp(0);
+        let mut window = LatencyWindow::new(start);
+        for round in 0..4_u32 {
+            let now = start + SPAN * round;
+            let millis = if round == 0 { 500 } else { 50 };
+            for _ in 0..100 {
+                window.record(time::Duration::from_millis(millis), now);
+            }
+        }
+        let now = start + SPAN * 3;
+        let quantile = window.quantile(0.95, 50, now).unwrap();
+        assert!(quantile < time::Duration::from_millis(52), "{quantile:?}");
+        assert!(window.quantile(0.95, 50, now + SPAN * 2).is_none());
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/retries.rs
@@ -0,0 +1,312 @@
+//! When a request is sent a second time.
+//!
+//! A retry follows an attempt that ended without an answer; a hedge runs beside an attempt whose
+//! first token is late. Both need a token from a budget that first attempts fill, so that they add at
+//! most a fixed share of work when many attempts fail at once.
+
+use std::time;
+
+use snafu::Snafu;
+
+use crate::{latency_window, units};
+
+/// Retries per first attempt.
+const RETRY_SHARE: f64 = 0.1;
+/// Hedges per first attempt; fewer, since a hedge also runs when nothing is wrong.
+const HEDGE_SHARE: f64 = 0.05;
+/// Retries at hand after a quiet time; enough for the requests in flight on one lost endpoint.
+const RETRY_RESERVE: f64 = 64.0;
+/// Hedges at hand after a quiet time.
+const HEDGE_RESERVE: f64 = 8.0;
+/// Attempts of one request, hedges included.
+const ATTEMPT_LIMIT: u32 = 3;
+/// Share of the first-token times that are shorter than the hedge delay.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// Shortest hedge delay; below it a hedge cannot win against a normal first token.
+const HEDGE_MINIMUM: time::Duration = time::Duration::from_millis(50);
+/// Hedge delay while too few first tokens were observed.
+const HEDGE_DEFAULT: time::Duration = time::Duration::from_millis(600);
+/// First tokens needed for a quantile of 0.95.
+const HEDGE_SAMPLES: u64 = 40;
+
+/// Why an attempt ended without an answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RetryReason {
+    /// The adapter could not be loaded there.
+    AdapterUnavailable,
+    /// The agent could not be reached.
+    ConnectFailed,
+    /// The endpoint failed while the request ran.
+    EndpointFailed,
+    /// The agent was lost with the request.
+    EndpointLost,
+    /// The agent drains.
+    Leaving,
+    /// The agent had no room or could not meet the deadline.
+    Overloaded,
+    /// The session was closed before the dispatch.
+    SessionClosed,
+}
+
+/// What is known of an attempt that ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunKnowledge {
+    /// The agent said that it did not and will not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It ran, at least partly.
+    Ran,
+}
+
+/// Request whose last attempt ended without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt {
+    pub reason: RetryReason,
+    pub knowledge: RunKnowledge,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether a part of the answer has been relayed to the caller.
+    pub answer_started: bool,
+    /// Attempts made so far, hedges included.
+    pub attempts: u32,
+    /// Time left until the deadline.
+    pub time_left: time::Duration,
+}
+
+/// Reason for which a request is not sent again.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Snafu)]
+pub enum RetryRefusal {
+    #[snafu(display("part of the answer was already sent; repeat the request"))]
+    AnswerStarted,
+    #[snafu(display("the request may have run; repeat it only if that is harmless"))]
+    MayHaveRun,
+    #[snafu(display("the request was tried too often; repeat it later"))]
+    AttemptLimit,
+    #[snafu(display("no time is left before the deadline; repeat it with a later one"))]
+    DeadlinePassed,
+    #[snafu(display("too many requests are sent again at present; repeat it later"))]
+    BudgetExhausted,
+}
+
+/// Request that waits for its first token.
+#[derive(Clone, Copy, Debug)]
+pub struct LateRequest {
+    pub repeatable: bool,
+    pub answer_started: bool,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Time since the first dispatch.
+    pub waited: time::Duration,
+    /// Wait that was predicted at the dispatch.
+    pub predicted_wait: time::Duration,
+    /// Time left until the deadline.
+    pub time_left: time::Duration,
+}
+
+/// Whether a second attempt is started beside the first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HedgeDecision {
+    Hedge,
+    /// Ask again after this time.
+    Wait(time::Duration),
+    Never(RetryRefusal),
+}
+
+/// Tokens that first attempts deposit and further attempts withdraw.
+#[derive(Debug)]
+struct AttemptBudget {
+    tokens: f64,
+    share: f64,
+    reserve: f64,
+}
+
+/// Budgets and first-token times of one entry.
+#[derive(Debug)]
+pub struct RetryPolicy {
+    retries: AttemptBudget,
+    hedges: AttemptBudget,
+    first_tokens: latency_window::LatencyWindow,
+}
+
+impl RetryPolicy {
+    /// Policy with full budgets.
+    #[must_use]
+    pub fn new(now: units::Timestamp) -> Self {
+        Self {
+            retries: AttemptBudget::new(RETRY_SHARE, RETRY_RESERVE),
+            hedges: AttemptBudget::new(HEDGE_SHARE, HEDGE_RESERVE),
+            first_tokens: latency_window::LatencyWindow::new(now),
+        }
+    }
+
+    /// Records the first attempt of a request.
+    pub fn first_attempt(&mut self) {
+        self.retries.deposit();
+        self.hedges.deposit();
+    }
+
+    /// Records a first-token time, without the wait that was predicted.
+    pub fn first_token(&mut self, taken: time::Duration, now: units::Timestamp) {
+        self.first_tokens.record(taken, now);
+    }
+
+    /// Takes a retry from the budget.
+    ///
+    /// # Errors
+    /// [`RetryRefusal`] when the request must not or need not be sent again.
+    pub fn retry(&mut self, failed: &FailedAttempt) -> Result<(), RetryRefusal> {
+        if failed.answer_started {
+            return Err(RetryRefusal::AnswerStarted);
+        }
+        if failed.knowledge != RunKnowledge::NotRun && !failed.repeatable {
+            return Err(RetryRefusal::MayHaveRun);
+        }
+        check_limits(failed.attempts, failed.time_left)?;
+        self.retries.withdraw()
+    }
+
+    /// Delay after which a request without a first token is hedged.
+    #[must_use]
+    pub fn hedge_delay(&self, now: units::Timestamp) -> time::Duration {
+        self.first_tokens
+            .quantile(HEDGE_QUANTILE, HEDGE_SAMPLES, now)
+            .unwrap_or(HEDGE_DEFAULT)
+            .max(HEDGE_MINIMUM)
+    }
+
+    /// Decides on a hedge and takes it from the budget.
+    pub fn hedge(&mut self, late: &LateRequest, now: units::Timestamp) -> HedgeDecision {
+        if late.answer_started {
+            return HedgeDecision::Never(RetryRefusal::AnswerStarted);
+        }
+        if !late.repeatable {
+            return HedgeDecision::Never(RetryRefusal::MayHaveRun);
+        }
+        if let Err(refusal) = check_limits(late.attempts, late.time_left) {
+            return HedgeDecision::Never(refusal);
+        }
+        let delay = late.predicted_wait + self.hedge_delay(now) * late.attempts;
+        let left = delay.saturating_sub(late.waited);
+        if !left.is_zero() {
+            return HedgeDecision::Wait(left);
+        }
+        match self.hedges.withdraw() {
+            Ok(()) => HedgeDecision::Hedge,
+            Err(refusal) => HedgeDecision::Never(refusal),
+        }
+    }
+}
+
+impl AttemptBudget {
+    fn new(share: f64, reserve: f64) -> Self {
+        Self {
+            tokens: reserve,
+            share,
+            reserve,
+        }
+    }
+
+    fn deposit(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.reserve);
+    }
+
+    fn withdraw(&mut self) -> Result<(), RetryRefusal> {
+        if self.tokens < 1.0 {
+            return Err(RetryRefusal::BudgetExhausted);
+        }
+        self.tokens -= 1.0;
+        Ok(())
+    }
+}
+
+fn check_limits(attempts: u32, time_left: time::Duration) -> Result<(), RetryRefusal> {
+    if attempts >= ATTEMPT_LIMIT {
+        return Err(RetryRefusal::AttemptLimit);
+    }
+    if time_left.is_zero() {
+        return Err(RetryRefusal::DeadlinePassed);
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use test_case::test_case;
+
+    use super::*;
+
+    const NOW: units::Timestamp = units::Timestamp(0);
+    const SECOND: time::Duration = time::Duration::from_secs(1);
+
+    fn failed(knowledge: RunKnowledge, repeatable: bool) -> FailedAttempt {
+        FailedAttempt {
+            reason: RetryReason::EndpointLost,
+            knowledge,
+            repeatable,
+            answer_started: false,
+            attempts: 1,
+            time_left: SECOND,
+        }
+    }
+
+    // Guards against a request that must not be repeated and runs twice (invariant I5).
+    #[test_case(RunKnowledge::NotRun, false, Ok(()))]
+    #[test_case(RunKnowledge::Unknown, false, Err(RetryRefusal::MayHaveRun))]
+    #[test_case(RunKnowledge::Ran, false, Err(RetryRefusal::MayHaveRun))]
+    #[test_case(RunKnowledge::Unknown, true, Ok(()))]
+    #[test_case(RunKnowledge::Ran, true, Ok(()))]
+    fn retry_needs_proof_or_repeatability(
+        knowledge: RunKnowledge,
+        repeatable: bool,
+        expected: Result<(), RetryRefusal>,
+    ) {
+        let mut policy = RetryPolicy::new(NOW);
+        assert_eq!(policy.retry(&failed(knowledge, repeatable)), expected);
+    }
+
+    // Guards against an answer that is put together from two runs (invariant I3).
+    #[test]
+    fn started_answer_is_not_retried() {
+        let mut policy = RetryPolicy::new(NOW);
+        let mut failed = failed(RunKnowledge::Ran, true);
+        failed.answer_started = true;
+        assert_eq!(policy.retry(&failed), Err(RetryRefusal::AnswerStarted));
+    }
+
+    // Guards against retries that multiply the load when everything fails.
+    #[test]
+    fn retries_are_a_share_of_first_attempts() {
+        let mut policy = RetryPolicy::new(NOW);
+        let mut retried = 0;
+        for _ in 0..10_000 {
+            policy.first_attempt();
+            let outcome = policy.retry(&failed(RunKnowledge::NotRun, true));
+            retried += u32::from(outcome.is_ok());
+        }
+        assert!((1_000..1_100).contains(&retried), "{retried}");
+    }
+
+    // Guards against hedges of requests that are not late, or that must run once.
+    #[test]
+    fn hedge_waits_for_the_observed_delay() {
+        let mut policy = RetryPolicy::new(NOW);
+        for millis in 1..=100 {
+            policy.first_token(time::Duration::from_millis(millis * 2), NOW);
+        }
+        let mut late = LateRequest {
+            repeatable: true,
+            answer_started: false,
+            attempts: 1,
+            waited: time::Duration::from_millis(180),
+            predicted_wait: time::Duration::ZERO,
+            time_left: SECOND,
+        };
+        assert!(matches!(policy.hedge(&late, NOW), HedgeDecision::Wait(_)));
+        late.waited = time::Duration::from_millis(200);
+        assert_eq!(policy.hedge(&late, NOW), HedgeDecision::Hedge);
+        late.repeatable = false;
+        let never = HedgeDecision::Never(RetryRefusal::MayHaveRun);
+        assert_eq!(policy.hedge(&late, NOW), never);
+    }
+}
