Refuse requests that cannot be on time, lowest priority first

Cause: under overload late work must not queue up, and high priority requests that fit must be kept. Conclusion: depends on agents that drop late work from their queues.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every function takes the current time as an argument and every random choice comes from a
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
+pub mod admission;
 pub mod backlog;
 pub mod candidates;
 pub mod endpoint_state;
