Add the queue of one replica

Cause: the agent needs an order in which waiting requests enter an engine's batch. Change: module queueing with a priority, fair-share and deadline queue behind QueuePolicy, and a first-in-first-out baseline. Long requests beyond a quarter of the batch are parked while short ones wait.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,5 +4,6 @@
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
 pub mod ids;
+pub mod queueing;
 pub mod request_table;
 pub mod units;
--- /dev/null
+++ b/crates/decisions/src/queueing.rs
@@ -0,0 +1,422 @@
+//! Queue of one replica.
+//!
+//! The queue decides which request enters the engine's batch next. Priorities come first, then a
+//! weighted fair share between operators, then deadlines. A request whose adapter is already in
+//! the batch may overtake the others of its priority while no deadline is at risk, because an
+//! engine step costs more with every distinct adapter. The length of an answer is not known
+//! beforehand: a request counts as long once it has generated [`LONG_TOKENS`].
+
+use std::{collections, time};
+
+use crate::{ids, units};
+
+/// Generated tokens after which a request counts as long.
+pub const LONG_TOKENS: u32 = 512;
+/// Share of the batch, in percent, that long requests may hold while short ones wait.
+pub const LONG_SHARE_PERCENT: usize = 25;
+/// Requests handed to the engine beyond its batch, so that a step never waits for the agent.
+pub const ENGINE_QUEUE: usize = 1;
+/// One start in this many goes to a priority below the highest waiting one, each of them in turn,
+/// so that none starves.
+pub const STARTS_PER_LOW: u32 = 16;
+/// Earliest deadlines checked before a batch preference, which bounds the cost of one pick.
+const DEADLINES_CHECKED: usize = 64;
+/// Weight of the newest service time in the moving average.
+const SERVICE_TIME_GAIN: f64 = 0.1;
+/// Shortest retry-after; shorter values cause a retry before anything has changed.
+const MIN_RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Request waiting for a place in the batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueuedRequest {
+    pub request: ids::RequestId,
+    /// Adapter it runs on; `None` for the base model.
+    pub adapter: Option<ids::AdapterId>,
+    pub priority: units::Priority,
+    pub operator: String,
+    /// Share of the operator within a priority, at least 1.
+    pub weight: u32,
+    /// Time at which the first token is due.
+    pub deadline: units::Timestamp,
+}
+
+/// Request in the engine's batch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunningRequest {
+    pub request: ids::RequestId,
+    pub adapter: Option<ids::AdapterId>,
+    /// Tokens generated so far.
+    pub generated: u32,
+}
+
+/// Engine state that a pick depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct BatchView<'a> {
+    pub running: &'a [RunningRequest],
+    /// Largest batch of the engine, in requests.
+    pub limit: usize,
+    /// Adapters resident in the engine, sorted.
+    pub resident: &'a [ids::AdapterId],
+}
+
+/// Next action on the engine's batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum QueuePick {
+    Start(QueuedRequest),
+    /// Continue a parked long request.
+    Resume(ids::RequestId),
+}
+
+/// Order in which waiting requests enter the batch.
+pub trait QueuePolicy: Send {
+    /// Adds a request.
+    fn push(&mut self, request: QueuedRequest);
+    /// Removes a waiting or parked request; false when it is not here.
+    fn remove(&mut self, request: ids::RequestId) -> bool;
+    /// Removes requests whose deadline has passed; they did not run.
+    fn expire(&mut self, now: units::Timestamp) -> Vec<QueuedRequest>;
+    /// Takes the next request for the batch, if there is room and one may run.
+    fn next(&mut self, batch: &BatchView<'_>, now: units::Timestamp) -> Option<QueuePick>;
+    /// Long requests to be paused now in favour of short ones. The queue keeps them as parked.
+    fn park(&mut self, batch: &BatchView<'_>) -> Vec<ids::RequestId>;
+    /// Records the time a request held its place in the batch.
+    fn observe(&mut self, service_time: time::Duration);
+    /// Expected wait of a new request of this priority.
+    fn predicted_wait(&self, priority: units::Priority, batch_limit: usize) -> time::Duration;
+    /// Waiting requests, without the parked ones.
+    fn waiting(&self) -> usize;
+
+    /// Time after which a request with `time_left` would be served in time, at least 50 ms.
+    fn retry_after(
+        &self,
+        priority: units::Priority,
+        batch_limit: usize,
+        time_left: time::Duration,
+    ) -> time::Duration {
+        self.predicted_wait(priority, batch_limit)
+            .saturating_sub(time_left)
+            .max(MIN_RETRY)
+    }
+}
+
+impl BatchView<'_> {
+    fn is_full(&self) -> bool {
+        self.running.len() >= self.limit + ENGINE_QUEUE
+    }
+
+    fn may_run(&self, request: &QueuedRequest) -> bool {
+        request
+            .adapter
+            .is_none_or(|adapter| self.resident.binary_search(&adapter).is_ok())
+    }
+
+    fn contains(&self, adapter: Option<ids::AdapterId>) -> bool {
+        self.running
+            .iter()
+            .any(|running| running.adapter == adapter)
+    }
+
+    fn long(&self) -> impl Iterator<Item = &RunningRequest> {
+        self.running
+            .iter()
+            .filter(|running| running.generated >= LONG_TOKENS)
+    }
+
+    /// Long requests allowed while short ones wait; one always runs, so that it makes progress.
+    fn long_limit(&self) -> usize {
+        (self.limit * LONG_SHARE_PERCENT / 100).max(1)
+    }
+}
+
+/// Moving average of the time one request holds a place in the batch.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceTime {
+    seconds: Option<f64>,
+}
+
+impl ServiceTime {
+    fn observe(&mut self, service_time: time::Duration) {
+        let sample = service_time.as_secs_f64();
+        let mean = self.seconds.unwrap_or(sample);
+        self.seconds = Some(mean + SERVICE_TIME_GAIN * (sample - mean));
+    }
+
+    /// Time in which `starts` places become free.
+    fn for_starts(&self, starts: usize, batch_limit: usize) -> time::Duration {
+        let limit = u32::try_from(batch_limit.max(1)).unwrap_or(u32::MAX);
+        let starts = u32::try_from(starts).unwrap_or(u32::MAX);
+        let interval = self.seconds.unwrap_or(0.0) / f64::from(limit);
+        time::Duration::from_secs_f64(interval * f64::from(starts))
+    }
+}
+
+/// Baseline: first in, first out, without regard to priority, adapter or length.
+#[derive(Debug, Default)]
+pub struct FifoQueue {
+    waiting: collections::VecDeque<QueuedRequest>,
+    service_time: ServiceTime,
+}
+
+impl QueuePolicy for FifoQueue {
+    fn push(&mut self, request: QueuedRequest) {
+        self.waiting.push_back(request);
+    }
+
+    fn remove(&mut self, request: ids::RequestId) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.request != request);
+        self.waiting.len() < before
+    }
+
+    fn expire(&mut self, now: units::Timestamp) -> Vec<QueuedRequest> {
+        let (expired, waiting) = self.waiting.drain(..).partition(|r| r.deadline < now);
+        self.waiting = waiting;
+        Vec::from(expired)
+    }
+
+    fn next(&mut self, batch: &BatchView<'_>, _now: units::Timestamp) -> Option<QueuePick> {
+        if batch.is_full() || !batch.may_run(self.waiting.front()?) {
+            return None;
+        }
+        self.waiting.pop_front().map(QueuePick::Start)
+    }
+
+    fn park(&mut self, _batch: &BatchView<'_>) -> Vec<ids::RequestId> {
+        Vec::new()
+    }
+
+    fn observe(&mut self, service_time: time::Duration) {
+        self.service_time.observe(service_time);
+    }
+
+    fn predicted_wait(&self, _priority: units::Priority, batch_limit: usize) -> time::Duration {
+        self.service_time
+            .for_starts(self.waiting.len(), batch_limit)
+    }
+
+    fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
+/// Waiting requests of one operator within one priority, sorted by deadline.
+#[derive(Debug)]
+struct OperatorQueue {
+    operator: String,
+    /// Starts divided by weight, in units of 1/2^20; the operator with the least is next.
+    virtual_time: u64,
+    waiting: Vec<QueuedRequest>,
+}
+
+/// Requests of one priority, sorted by operator.
+#[derive(Debug, Default)]
+struct PriorityQueue {
+    operators: Vec<OperatorQueue>,
+    /// Virtual time of the last start. A newly active operator begins here, so that it gains no
+    /// credit for the time it was idle.
+    virtual_time: u64,
+}
+
+impl PriorityQueue {
+    fn push(&mut self, request: QueuedRequest) {
+        let found = self
+            .operators
+            .binary_search_by(|queue| queue.operator.as_str().cmp(&request.operator));
+        let position = found.unwrap_or_else(|position| {
+            let queue = OperatorQueue {
+                operator: request.operator.clone(),
+                virtual_time: self.virtual_time,
+                waiting: Vec::new(),
+            };
+            self.operators.insert(position, queue);
+            position
+        });
+        let queue = &mut self.operators[position];
+        if queue.waiting.is_empty() {
+            queue.virtual_time = queue.virtual_time.max(self.virtual_time);
+        }
+        let waiting = &mut queue.waiting;
+        let index = waiting.partition_point(|other| other.deadline <= request.deadline);
+        waiting.insert(index, request);
+    }
+
+    fn len(&self) -> usize {
+        self.operators.iter().map(|queue| queue.waiting.len()).sum()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.operators.iter().flat_map(|queue| &queue.waiting)
+    }
+
+    /// Takes the first eligible request of the operator with the least virtual time.
+    fn take(&mut self, is_eligible: impl Fn(&QueuedRequest) -> bool) -> Option<QueuedRequest> {
+        let (operator, index) = self
+            .operators
+            .iter()
+            .enumerate()
+            .filter_map(|(operator, queue)| {
+                let index = queue.waiting.iter().position(&is_eligible)?;
+                Some((operator, index))
+            })
+            .min_by_key(|(operator, index)| {
+                let queue = &self.operators[*operator];
+                (queue.virtual_time, queue.waiting[*index].deadline)
+            })?;
+        let queue = &mut self.operators[operator];
+        let request = queue.waiting.remove(index);
+        self.virtual_time = self.virtual_time.max(queue.virtual_time);
+        queue.virtual_time += (1 << 20) / u64::from(request.weight.max(1));
+        Some(request)
+    }
+
+    fn remove_where(&mut self, is_removed: impl Fn(&QueuedRequest) -> bool) -> Vec<QueuedRequest> {
+        let mut removed = Vec::new();
+        for queue in &mut self.operators {
+            removed.extend(queue.waiting.extract_if(.., |request| is_removed(request)));
+        }
+        if self.len() == 0 {
+            self.operators.clear();
+        }
+        // An idle operator is kept until the others have caught up with what it was served.
+        let virtual_time = self.virtual_time;
+        self.operators
+            .retain(|queue| !queue.waiting.is_empty() || queue.virtual_time > virtual_time);
+        removed
+    }
+}
+
+/// Priority, fair share and deadline queue with batch grouping and a limit on long requests.
+#[derive(Debug, Default)]
+pub struct ReplicaQueue {
+    /// Lowest priority first.
+    priorities: [PriorityQueue; 3],
+    parked: collections::VecDeque<ids::RequestId>,
+    starts_since_low: u32,
+    low_turns: usize,
+    service_time: ServiceTime,
+}
+
+impl ReplicaQueue {
+    /// Whether every waiting request still meets its deadline when one more start precedes it.
+    fn has_slack(&self, batch: &BatchView<'_>, now: units::Timestamp) -> bool {
+        let mut deadlines: Vec<_> = self
+            .priorities
+            .iter()
+            .flat_map(PriorityQueue::iter)
+            .filter(|request| batch.may_run(request))
+            .map(|request| request.deadline)
+            .collect();
+        if deadlines.len() > DEADLINES_CHECKED {
+            deadlines.select_nth_unstable(DEADLINES_CHECKED);
+            deadlines.truncate(DEADLINES_CHECKED);
+        }
+        deadlines.sort_unstable();
+        let on_time = |(index, deadline): (usize, &units::Timestamp)| {
+            now + self.service_time.for_starts(index + 1, batch.limit) <= *deadline
+        };
+        deadlines.iter().enumerate().all(on_time)
+    }
+
+    fn take(&mut self, batch: &BatchView<'_>, now: units::Timestamp) -> Option<QueuedRequest> {
+        let may_run = |queue: &PriorityQueue| queue.iter().any(|r| batch.may_run(r));
+        let highest = self.priorities.iter().rposition(may_run)?;
+        let lower: Vec<_> = (0..highest)
+            .filter(|priority| may_run(&self.priorities[*priority]))
+            .collect();
+        let is_low_turn = self.starts_since_low + 1 >= STARTS_PER_LOW;
+        let chosen = if lower.is_empty() || !is_low_turn {
+            highest
+        } else {
+            self.low_turns = self.low_turns.wrapping_add(1);
+            lower[self.low_turns % lower.len()]
+        };
+        let is_high = chosen == highest && !lower.is_empty();
+        self.starts_since_low = if is_high {
+            self.starts_since_low + 1
+        } else {
+            0
+        };
+        let has_slack = !batch.running.is_empty() && self.has_slack(batch, now);
+        let queue = &mut self.priorities[chosen];
+        let grouped = has_slack
+            .then(|| queue.take(|r| batch.may_run(r) && batch.contains(r.adapter)))
+            .flatten();
+        grouped.or_else(|| queue.take(|request| batch.may_run(request)))
+    }
+
+    fn resume(&mut self, batch: &BatchView<'_>) -> Option<QueuePick> {
+        let short_waits = self
+            .priorities
+            .iter()
+            .flat_map(PriorityQueue::iter)
+            .any(|request| batch.may_run(request));
+        if short_waits && batch.long().count() >= batch.long_limit() {
+            return None;
+        }
+        self.parked.pop_front().map(QueuePick::Resume)
+    }
+}
+
+impl QueuePolicy for ReplicaQueue {
+    fn push(&mut self, request: QueuedRequest) {
+        self.priorities[request.priority as usize].push(request);
+    }
+
+    fn remove(&mut self, request: ids::RequestId) -> bool {
+        let parked = self.parked.len();
+        self.parked.retain(|other| *other != request);
+        let mut found = self.parked.len() < parked;
+        for queue in &mut self.priorities {
+            found |= !queue.remove_where(|r| r.request == request).is_empty();
+        }
+        found
+    }
+
+    fn expire(&mut self, now: units::Timestamp) -> Vec<QueuedRequest> {
+        self.priorities
+            .iter_mut()
+            .flat_map(|queue| queue.remove_where(|request| request.deadline < now))
+            .collect()
+    }
+
+    fn next(&mut self, batch: &BatchView<'_>, now: units::Timestamp) -> Option<QueuePick> {
+        if batch.is_full() {
+            return None;
+        }
+        self.resume(batch)
+            .or_else(|| self.take(batch, now).map(QueuePick::Start))
+    }
+
+    fn park(&mut self, batch: &BatchView<'_>) -> Vec<ids::RequestId> {
+        let short = self
+            .priorities
+            .iter()
+            .flat_map(PriorityQueue::iter)
+            .filter(|request| batch.may_run(request))
+            .count();
+        let free = (batch.limit + ENGINE_QUEUE).saturating_sub(batch.running.len());
+        let mut long: Vec<_> = batch.long().collect();
+        let surplus = long.len().saturating_sub(batch.long_limit());
+        long.sort_unstable_by_key(|running| std::cmp::Reverse(running.generated));
+        long.truncate(surplus.min(short.saturating_sub(free)));
+        let parked: Vec<_> = long.iter().map(|running| running.request).collect();
+        self.parked.extend(&parked);
+        parked
+    }
+
+    fn observe(&mut self, service_time: time::Duration) {
+        self.service_time.observe(service_time);
+    }
+
+    fn predicted_wait(&self, priority: units::Priority, batch_limit: usize) -> time::Duration {
+        let ahead = self.priorities[priority as usize..]
+            .iter()
+            .map(PriorityQueue::len)
+            .sum();
+        self.service_time.for_starts(ahead, batch_limit)
+    }
+
+    fn waiting(&self) -> usize {
+        self.priorities.iter().map(PriorityQueue::len).sum()
+    }
+}
