--- /dev/null
+++ b/crates/decisions/src/load_queue.rs
@@ -0,0 +1,135 @@
+//! Loads that wait for a slot, ordered by deadline, with back-off after failures.
+
+use std::time;
+
+use rand::Rng;
+
+use crate::{ids, units};
+
+/// First pause after a failed load; doubled with every further failure in a row.
+const FIRST_BACK_OFF: time::Duration = time::Duration::from_millis(250);
+/// Longest pause after failed loads.
+const MAX_BACK_OFF: time::Duration = time::Duration::from_secs(16);
+
+/// Requests that wait for an adapter, and its failed loads.
+#[derive(Clone, Copy, Debug)]
+struct WaitingLoad {
+    adapter: ids::AdapterId,
+    /// Earliest deadline; `None` when no request waits.
+    deadline: Option<units::Timestamp>,
+    failures: u32,
+    not_before: units::Timestamp,
+}
+
+/// Waiting loads, sorted by adapter.
+#[derive(Debug, Default)]
+pub struct LoadQueue {
+    loads: Vec<WaitingLoad>,
+}
+
+impl LoadQueue {
+    /// Adds a request that waits for an adapter.
+    pub fn push(&mut self, adapter: ids::AdapterId, deadline: units::Timestamp) {
+        let load = self.entry(adapter);
+        let earliest = load.deadline.map_or(deadline, |other| other.min(deadline));
+        load.deadline = Some(earliest);
+    }
+
+    /// Sets the earliest deadline of the requests that still wait; `None` when there are none.
+    pub fn set_deadline(&mut self, adapter: ids::AdapterId, deadline: Option<units::Timestamp>) {
+        if deadline.is_some() || self.position(adapter).is_ok() {
+            self.entry(adapter).deadline = deadline;
+        }
+    }
+
+    /// Removes an adapter that has been loaded.
+    pub fn remove(&mut self, adapter: ids::AdapterId) {
+        if let Ok(position) = self.position(adapter) {
+            self.loads.remove(position);
+        }
+    }
+
+    /// Records a failed load and returns the time of the next attempt. The pause is jittered by
+    /// up to half, so that agents do not retry together.
+    pub fn fail(
+        &mut self,
+        adapter: ids::AdapterId,
+        now: units::Timestamp,
+        rng: &mut dyn rand::RngCore,
+    ) -> units::Timestamp {
+        let load = self.entry(adapter);
+        let factor = 1 << load.failures.min(16);
+        let pause = FIRST_BACK_OFF.saturating_mul(factor).min(MAX_BACK_OFF);
+        load.failures += 1;
+        load.not_before = now + pause.mul_f64(rng.random_range(1.0..1.5));
+        load.not_before
+    }
+
+    /// Ends all back-offs; a restarted engine may load what it refused before.
+    pub fn reset(&mut self) {
+        for load in &mut self.loads {
+            load.failures = 0;
+            load.not_before = units::Timestamp::default();
+        }
+    }
+
+    /// Drops back-offs that have ended with no request waiting.
+    pub fn expire(&mut self, now: units::Timestamp) {
+        self.loads
+            .retain(|load| load.deadline.is_some() || load.not_before > now);
+    }
+
+    /// Adapter with the earliest deadline that is eligible and not in back-off.
+    pub fn earliest(
+        &self,
+        now: units::Timestamp,
+        is_eligible: impl Fn(ids::AdapterId) -> bool,
+    ) -> Option<ids::AdapterId> {
+        self.loads
+            .iter()
+            .filter(|load| load.not_before <= now && is_eligible(load.adapter))
+            .filter_map(|load| Some((load.deadline?, load.adapter)))
+            .min()
+            .map(|(_, adapter)| adapter)
+    }
+
+    /// Adapters with waiting requests, sorted.
+    pub fn waiting(&self) -> impl Iterator<Item = ids::AdapterId> {
+        let loads = self.loads.iter().filter(|load| load.deadline.is_some());
+        loads.map(|load| load.adapter)
+    }
+
+    /// Whether the last load failed and its pause has not ended.
+    #[must_use]
+    pub fn is_backing_off(&self, adapter: ids::AdapterId, now: units::Timestamp) -> bool {
+        self.position(adapter)
+            .is_ok_and(|position| self.loads[position].not_before > now)
+    }
+
+    /// Failed loads in a row.
+    #[must_use]
+    pub fn failures(&self, adapter: ids::AdapterId) -> u32 {
+        let position = self.position(adapter);
+        position.map_or(0, |position| self.loads[position].failures)
+    }
+
+    fn position(&self, adapter: ids::AdapterId) -> Result<usize, usize> {
+        self.loads
+            .binary_search_by_key(&adapter, |load| load.adapter)
+    }
+
+    fn entry(&mut self, adapter: ids::AdapterId) -> &mut WaitingLoad {
+        let found = self.position(adapter);
+        let position = found.unwrap_or_else(|position| {
+            let load = WaitingLoad {
+                adapter,
+                deadline: None,
+                failures: 0,
+                not_before: units::Timestamp::default(),
+            };
+            self.loads.insert(position, load);
+            position
+        });
+        &mut self.loads[position]
+    }
+}
--- a/crates/decisions/src/queueing.rs
+++ b/crates/decisions/src/queueing.rs
@@ -100,11 +100,11 @@
 }
 
 impl BatchView<'_> {
-    fn is_full(&self) -> bool {
+    pub(crate) fn is_full(&self) -> bool {
         self.running.len() >= self.limit + ENGINE_QUEUE
     }
 
-    fn may_run(&self, request: &QueuedRequest) -> bool {
+    pub(crate) fn may_run(&self, request: &QueuedRequest) -> bool {
         request
             .adapter
             .is_none_or(|adapter| self.resident.binary_search(&adapter).is_ok())
@@ -130,19 +130,19 @@
 
 /// Moving average of the time one request holds a place in the batch.
 #[derive(Clone, Copy, Debug, Default)]
-struct ServiceTime {
+pub(crate) struct ServiceTime {
     seconds: Option<f64>,
 }
 
 impl ServiceTime {
-    fn observe(&mut self, service_time: time::Duration) {
+    pub(crate) fn observe(&mut self, service_time: time::Duration) {
         let sample = service_time.as_secs_f64();
         let mean = self.seconds.unwrap_or(sample);
         self.seconds = Some(mean + SERVICE_TIME_GAIN * (sample - mean));
     }
 
     /// Time in which `starts` places become free.
-    fn for_starts(&self, starts: usize, batch_limit: usize) -> time::Duration {
+    pub(crate) fn for_starts(&self, starts: usize, batch_limit: usize) -> time::Duration {
         let limit = u32::try_from(batch_limit.max(1)).unwrap_or(u32::MAX);
         let starts = u32::try_from(starts).unwrap_or(u32::MAX);
         let interval = self.seconds.unwrap_or(0.0) / f64::from(limit);
@@ -150,55 +150,6 @@
     }
 }
 
-/// Baseline: first in, first out, without regard to priority, adapter or length.
-#[derive(Debug, Default)]
-pub struct FifoQueue {
-    waiting: collections::VecDeque<QueuedRequest>,
-    service_time: ServiceTime,
-}
-
-impl QueuePolicy for FifoQueue {
-    fn push(&mut self, request: QueuedRequest) {
-        self.waiting.push_back(request);
-    }
-
-    fn remove(&mut self, request: ids::RequestId) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|waiting| waiting.request != request);
-        self.waiting.len() < before
-    }
-
-    fn expire(&mut self, now: units::Timestamp) -> Vec<QueuedRequest> {
-        let (expired, waiting) = self.waiting.drain(..).partition(|r| r.deadline < now);
-        self.waiting = waiting;
-        Vec::from(expired)
-    }
-
-    fn next(&mut self, batch: &BatchView<'_>, _now: units::Timestamp) -> Option<QueuePick> {
-        if batch.is_full() || !batch.may_run(self.waiting.front()?) {
-            return None;
-        }
-        self.waiting.pop_front().map(QueuePick::Start)
-    }
-
-    fn park(&mut self, _batch: &BatchView<'_>) -> Vec<ids::RequestId> {
-        Vec::new()
-    }
-
-    fn observe(&mut self, service_time: time::Duration) {
-        self.service_time.observe(service_time);
-    }
-
-    fn predicted_wait(&self, _priority: units::Priority, batch_limit: usize) -> time::Duration {
-        self.service_time
-            .for_starts(self.waiting.len(), batch_limit)
-    }
-
-    fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-}
-
 /// Waiting requests of one operator within one priority, sorted by deadline.
 #[derive(Debug)]
 struct OperatorQueue {
--- a/crates/decisions/tests/queueing.rs
+++ b/crates/decisions/tests/queueing.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use decisions::{
-    ids,
+    fifo_queue, ids,
     queueing::{self, QueuePolicy},
     units,
 };
@@ -143,7 +143,7 @@
 fn expired_requests_are_reported_and_removed() {
     let policies: [Box<dyn QueuePolicy>; 2] = [
         Box::new(queueing::ReplicaQueue::default()),
-        Box::new(queueing::FifoQueue::default()),
+        Box::new(fifo_queue::FifoQueue::default()),
     ];
     for mut queue in policies {
         queue.push(request(1, 1, "a"));
