Share the weight store without a coordinator

Cause: all agents load from one store of about 4.5 loads/s and no process may coordinate them. Change: module load_budget with a token bucket over a static share, a share by exchanged demand, a control by load times, and the default that multiplies the last two. Own demand is taken at the time of the peers' reports, and the price of a load is jittered.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod eviction;
 pub mod fifo_queue;
 pub mod ids;
+pub mod load_budget;
 pub mod load_queue;
 pub mod queueing;
 pub mod request_table;
