--- a/crates/decisions/src/request_table.rs
+++ b/crates/decisions/src/request_table.rs
@@ -12,7 +12,7 @@
 use crate::{ids, units};
 
 /// Retention of tombstones and finished entries. A dispatch belongs to a session that closes after
-/// 2 s of silence, so no dispatch can arrive after this time.
+/// 10 s of silence, so no dispatch can arrive after this time.
 pub const RETENTION: time::Duration = time::Duration::from_mins(10);
 
 /// State of a request at the agent.
