--- /dev/null
+++ b/crates/operators/src/configuration.rs
@@ -0,0 +1,332 @@
+//! Configuration at one version.
+//!
+//! Entries are shared between versions: a change copies the vector of pointers at most, and only
+//! while a reader still holds the previous version. Names that occur in many adapters are interned.
+//!
+//! Applying a change never fails. A change that does not fit the state (a priority for an unknown
+//! adapter) is skipped, so acceptance depends on the base version alone and processes with
+//! different validation rules still agree. [`crate::check`] finds such changes before publishing.
+
+use std::{mem, sync::Arc};
+
+use decisions::{ids, units};
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, Snafu, ensure};
+
+use crate::patch;
+
+/// Largest number of adapters; further ones are skipped.
+pub const MAX_ADAPTERS: usize = 65_536;
+/// Largest number of operators and of services; further ones are skipped.
+pub const MAX_OPERATORS: usize = 1_024;
+/// Two reference counts in front of every shared value.
+const SHARED_HEADER_BYTES: usize = 2 * mem::size_of::<usize>();
+
+/// One adapter with its published versions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterEntry {
+    pub name: Box<str>,
+    pub base_model: Arc<str>,
+    /// Operator that owns the adapter.
+    pub operator: Arc<str>,
+    /// Published versions, ascending.
+    pub versions: Box<[u32]>,
+    pub default_version: u32,
+    #[serde(default)]
+    pub priority: units::Priority,
+}
+
+/// One operator.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorEntry {
+    pub name: Box<str>,
+    /// Share of a contended engine relative to other operators.
+    pub weight: u32,
+    /// Highest priority that the operator's requests may have.
+    pub allowed_priority: units::Priority,
+}
+
+/// One plain service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceEntry {
+    pub name: Box<str>,
+    /// Whether a call may run more than once.
+    pub repeatable: bool,
+}
+
+/// Reason why a model name does not resolve to an adapter version.
+#[derive(Debug, Eq, PartialEq, Snafu)]
+pub enum ResolveError {
+    #[snafu(display("adapter `{name}` is not configured; publish it or correct the name"))]
+    UnknownAdapter { name: String },
+    #[snafu(display(
+        "adapter `{name}` has no version {version}; use one of {available:?} or none for the default"
+    ))]
+    UnknownVersion {
+        name: String,
+        version: u32,
+        available: Vec<u32>,
+    },
+}
+
+/// State after all accepted patches up to a version.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(from = "ConfigurationParts")]
+pub struct Configuration {
+    version: u64,
+    adapters: Vec<Arc<AdapterEntry>>,
+    operators: Vec<Arc<OperatorEntry>>,
+    services: Vec<Arc<ServiceEntry>>,
+    /// Interned names of base models and operators, sorted; not part of the state.
+    #[serde(skip)]
+    names: Vec<Arc<str>>,
+}
+
+#[derive(Deserialize)]
+struct ConfigurationParts {
+    version: u64,
+    adapters: Vec<AdapterEntry>,
+    operators: Vec<OperatorEntry>,
+    services: Vec<ServiceEntry>,
+}
+
+trait Named {
+    fn name(&self) -> &str;
+}
+
+impl Named for AdapterEntry {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Named for OperatorEntry {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Named for ServiceEntry {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl PartialEq for Configuration {
+    fn eq(&self, other: &Self) -> bool {
+        self.version == other.version
+            && self.adapters == other.adapters
+            && self.operators == other.operators
+            && self.services == other.services
+    }
+}
+
+impl Eq for Configuration {}
+
+impl From<ConfigurationParts> for Configuration {
+    fn from(parts: ConfigurationParts) -> Self {
+        let mut configuration = Self {
+            version: parts.version,
+            ..Self::default()
+        };
+        for adapter in parts.adapters {
+            configuration.put_adapter(adapter);
+        }
+        for operator in parts.operators {
+            put(&mut configuration.operators, operator, MAX_OPERATORS);
+        }
+        for service in parts.services {
+            put(&mut configuration.services, service, MAX_OPERATORS);
+        }
+        configuration
+    }
+}
+
+impl Configuration {
+    /// Number of accepted patches.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Adapters, sorted by name.
+    #[must_use]
+    pub fn adapters(&self) -> &[Arc<AdapterEntry>] {
+        &self.adapters
+    }
+
+    /// Operators, sorted by name.
+    #[must_use]
+    pub fn operators(&self) -> &[Arc<OperatorEntry>] {
+        &self.operators
+    }
+
+    /// Plain services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Arc<ServiceEntry>] {
+        &self.services
+    }
+
+    /// Adapter of this name.
+    #[must_use]
+    pub fn adapter(&self, name: &str) -> Option<&AdapterEntry> {
+        find(&self.adapters, name)
+    }
+
+    /// Operator of this name.
+    #[must_use]
+    pub fn operator(&self, name: &str) -> Option<&OperatorEntry> {
+        find(&self.operators, name)
+    }
+
+    /// Plain service of this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
+        find(&self.services, name)
+    }
+
+    /// Adapter version for a request that names the adapter and perhaps a version.
+    ///
+    /// # Errors
+    /// [`ResolveError`] when the adapter or the version is not configured.
+    pub fn resolve(
+        &self,
+        name: &str,
+        version: Option<u32>,
+    ) -> Result<ids::AdapterRef, ResolveError> {
+        let adapter = self.adapter(name).context(UnknownAdapterSnafu { name })?;
+        let version = version.unwrap_or(adapter.default_version);
+        ensure!(
+            adapter.versions.binary_search(&version).is_ok(),
+            UnknownVersionSnafu {
+                name,
+                version,
+                available: adapter.versions.to_vec(),
+            }
+        );
+        Ok(ids::AdapterRef {
+            name: name.to_owned(),
+            version,
+        })
+    }
+
+    /// Applies the changes of an accepted patch and increases the version by one.
+    pub fn apply(&mut self, changes: &[patch::Change]) {
+        for change in changes {
+            self.apply_change(change);
+        }
+        self.version += 1;
+    }
+
+    /// Bytes of the state, with the headers of shared values and without allocator rounding.
+    #[must_use]
+    pub fn byte_size(&self) -> usize {
+        let adapters: usize = self
+            .adapters
+            .iter()
+            .map(|adapter| adapter.name.len() + mem::size_of_val(&*adapter.versions))
+            .sum();
+        let operators: usize = self.operators.iter().map(|entry| entry.name.len()).sum();
+        let services: usize = self.services.iter().map(|entry| entry.name.len()).sum();
+        let names: usize = self
+            .names
+            .iter()
+            .map(|name| SHARED_HEADER_BYTES + name.len())
+            .sum();
+        mem::size_of::<Self>()
+            + vector_bytes(&self.adapters)
+            + vector_bytes(&self.operators)
+            + vector_bytes(&self.services)
+            + self.names.capacity() * mem::size_of::<Arc<str>>()
+            + adapters
+            + operators
+            + services
+            + names
+    }
+
+    fn apply_change(&mut self, change: &patch::Change) {
+        match change {
+            patch::Change::AddAdapter(adapter) | patch::Change::ReplaceAdapter(adapter) => {
+                self.put_adapter(adapter.clone());
+            }
+            patch::Change::RemoveAdapter(target) => remove(&mut self.adapters, &target.name),
+            patch::Change::SetAdapterPriority(change) => {
+                if let Some(adapter) = find_mut(&mut self.adapters, &change.name) {
+                    adapter.priority = change.priority;
+                }
+            }
+            patch::Change::SetAdapterOperator(change) => {
+                let operator = self.intern(&change.operator);
+                if let Some(adapter) = find_mut(&mut self.adapters, &change.name) {
+                    adapter.operator = operator;
+                }
+            }
+            patch::Change::SetOperator(operator) => {
+                put(&mut self.operators, operator.clone(), MAX_OPERATORS);
+            }
+            patch::Change::RemoveOperator(target) => remove(&mut self.operators, &target.name),
+            patch::Change::SetService(service) => {
+                put(&mut self.services, service.clone(), MAX_OPERATORS);
+            }
+            patch::Change::RemoveService(target) => remove(&mut self.services, &target.name),
+        }
+    }
+
+    fn put_adapter(&mut self, mut adapter: AdapterEntry) {
+        adapter.base_model = self.intern(&adapter.base_model);
+        adapter.operator = self.intern(&adapter.operator);
+        put(&mut self.adapters, adapter, MAX_ADAPTERS);
+    }
+
+    fn intern(&mut self, name: &str) -> Arc<str> {
+        match self.names.binary_search_by(|known| (**known).cmp(name)) {
+            Ok(index) => Arc::clone(&self.names[index]),
+            Err(index) => {
+                let name: Arc<str> = Arc::from(name);
+                // Names of removed adapters stay in the pool; a full pool starts again empty.
+                if self.names.len() >= MAX_ADAPTERS {
+                    self.names.clear();
+                    return name;
+                }
+                self.names.insert(index, Arc::clone(&name));
+                name
+            }
+        }
+    }
+}
+
+fn vector_bytes<T>(entries: &Vec<Arc<T>>) -> usize {
+    entries.capacity() * mem::size_of::<Arc<T>>()
+        + entries.len() * (SHARED_HEADER_BYTES + mem::size_of::<T>())
+}
+
+fn position<T: Named>(entries: &[Arc<T>], name: &str) -> Result<usize, usize> {
+    entries.binary_search_by(|entry| entry.name().cmp(name))
+}
+
+fn find<'a, T: Named>(entries: &'a [Arc<T>], name: &str) -> Option<&'a T> {
+    let index = position(entries, name).ok()?;
+    Some(&entries[index])
+}
+
+fn find_mut<'a, T: Clone + Named>(entries: &'a mut [Arc<T>], name: &str) -> Option<&'a mut T> {
+    let index = position(entries, name).ok()?;
+    Some(Arc::make_mut(&mut entries[index]))
+}
+
+fn put<T: Named>(entries: &mut Vec<Arc<T>>, entry: T, limit: usize) {
+    match position(entries, entry.name()) {
+        Ok(index) => entries[index] = Arc::new(entry),
+        Err(index) if entries.len() < limit => entries.insert(index, Arc::new(entry)),
+        Err(_) => {}
+    }
+}
+
+fn remove<T: Named>(entries: &mut Vec<Arc<T>>, name: &str) {
+    if let Ok(index) = position(entries, name) {
+        entries.remove(index);
+    }
+}
--- /dev/null
+++ b/crates/operators/src/patch.rs
@@ -0,0 +1,217 @@
+//! Patches that operators write in YAML.
+//!
+//! ```yaml
+//! id: 2f8b3a52-5d8e-4c6a-9c1b-0a4f6c1d2e3f
+//! base: 12
+//! changes:
+//!   - set_operator: {name: northlink, weight: 4, allowed_priority: high}
+//!   - add_adapter:
+//!       {name: notes, base_model: m-8b, operator: northlink, versions: [1, 2], default_version: 2}
+//!   - set_adapter_priority: {name: notes, priority: high}
+//!   - set_adapter_operator: {name: notes, operator: marcha}
+//!   - remove_adapter: {name: old-notes}
+//!   - set_service: {name: timetable, repeatable: true}
+//! ```
+//!
+//! `replace_adapter` takes the fields of `add_adapter`; `remove_operator` and `remove_service` take
+//! a name. Reading reports every fault, not only the first.
+
+use std::fmt;
+
+use decisions::units;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use serde_with::{DisplayFromStr, serde_as};
+use snafu::{ResultExt, Snafu, ensure};
+use uuid::Uuid;
+
+use crate::{configuration, patch_reader, snapshot};
+
+/// Largest patch text in bytes; the record derived from it must fit the log's record limit.
+pub const MAX_TEXT_BYTES: usize = 192 * 1024;
+/// Deepest nesting of a patch.
+pub const MAX_DEPTH: usize = 8;
+/// Largest number of changes in one patch.
+pub const MAX_CHANGES: usize = 2_000;
+/// Largest number of versions of one adapter.
+pub const MAX_VERSIONS: usize = 64;
+/// Longest name in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+/// Largest weight of an operator.
+pub const MAX_WEIGHT: u32 = 1_000;
+/// Largest number of faults that are listed.
+pub const MAX_FAULTS: usize = 50;
+const MAX_YAML_EVENTS: usize = 100_000;
+
+/// Identifier that makes sending a patch again safe.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct PatchId(#[serde_as(as = "DisplayFromStr")] pub Uuid);
+
+/// Changes against a base version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Patch {
+    pub id: PatchId,
+    /// Version that the changes were written against.
+    pub base: u64,
+    pub changes: Vec<Change>,
+}
+
+/// One change of the configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    AddAdapter(configuration::AdapterEntry),
+    ReplaceAdapter(configuration::AdapterEntry),
+    RemoveAdapter(ChangeTarget),
+    SetAdapterPriority(AdapterPriority),
+    SetAdapterOperator(AdapterOperator),
+    SetOperator(configuration::OperatorEntry),
+    RemoveOperator(ChangeTarget),
+    SetService(configuration::ServiceEntry),
+    RemoveService(ChangeTarget),
+}
+
+/// Name of an entry to remove.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeTarget {
+    pub name: Box<str>,
+}
+
+/// New priority of an adapter.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterPriority {
+    pub name: Box<str>,
+    pub priority: units::Priority,
+}
+
+/// New owner of an adapter.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterOperator {
+    pub name: Box<str>,
+    pub operator: Box<str>,
+}
+
+/// One fault of a patch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PatchFault {
+    /// Place in the patch, for example `changes[2].add_adapter.versions`.
+    pub path: String,
+    pub problem: String,
+    pub remedy: &'static str,
+}
+
+/// Faults of a patch in the order of the text, at most [`MAX_FAULTS`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FaultList {
+    faults: Vec<PatchFault>,
+    omitted: usize,
+}
+
+/// Reason why a patch cannot be read.
+#[derive(Debug, Snafu)]
+pub enum PatchError {
+    #[snafu(display(
+        "the patch has {bytes} bytes and at most {MAX_TEXT_BYTES} are allowed; split it into several patches"
+    ))]
+    TooLarge { bytes: usize },
+    #[snafu(display("the patch is not valid YAML: {source}; correct the text at this place"))]
+    InvalidYaml {
+        #[snafu(source(from(serde_saphyr::Error, Box::new)))]
+        source: Box<serde_saphyr::Error>,
+    },
+    #[snafu(display("the patch has faults:\n{faults}"))]
+    Invalid { faults: FaultList },
+}
+
+impl Patch {
+    /// Reads a patch and reports every fault.
+    ///
+    /// # Errors
+    /// [`PatchError`] when the text is too large, is not YAML or has faults.
+    pub fn from_yaml(text: &str) -> Result<Self, PatchError> {
+        let bytes = text.len();
+        ensure!(bytes <= MAX_TEXT_BYTES, TooLargeSnafu { bytes });
+        let root: Value =
+            serde_saphyr::from_str_with_options(text, yaml_options()).context(InvalidYamlSnafu)?;
+        let mut faults = FaultList::default();
+        let patch = patch_reader::read_patch(root, &mut faults);
+        match patch {
+            Some(patch) if faults.is_empty() => {
+                let bytes = snapshot::encode_patch(&patch).len();
+                ensure!(bytes <= snapshot::MAX_RECORD_BYTES, TooLargeSnafu { bytes });
+                Ok(patch)
+            }
+            _ => InvalidSnafu { faults }.fail(),
+        }
+    }
+}
+
+impl FaultList {
+    /// Whether there is no fault.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+
+    /// Faults in the order of the text.
+    #[must_use]
+    pub fn faults(&self) -> &[PatchFault] {
+        &self.faults
+    }
+
+    /// Adds a fault, or counts it when the list is full.
+    pub fn push(
+        &mut self,
+        path: impl Into<String>,
+        problem: impl Into<String>,
+        remedy: &'static str,
+    ) {
+        if self.faults.len() >= MAX_FAULTS {
+            self.omitted += 1;
+            return;
+        }
+        self.faults.push(PatchFault {
+            path: path.into(),
+            problem: problem.into(),
+            remedy,
+        });
+    }
+}
+
+impl fmt::Display for FaultList {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for fault in &self.faults {
+            writeln!(
+                formatter,
+                "{}: {}; {}",
+                fault.path, fault.problem, fault.remedy
+            )?;
+        }
+        if self.omitted > 0 {
+            writeln!(formatter, "and {} more", self.omitted)?;
+        }
+        Ok(())
+    }
+}
+
+fn yaml_options() -> serde_saphyr::Options {
+    serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_reader_input_bytes: Some(MAX_TEXT_BYTES),
+            max_depth: MAX_DEPTH,
+            max_events: MAX_YAML_EVENTS,
+            max_nodes: MAX_YAML_EVENTS,
+            max_total_scalar_bytes: MAX_TEXT_BYTES,
+            // Anchors are refused: aliases could expand a small text without limit.
+            max_anchors: 0,
+            max_aliases: 0,
+            max_documents: 1,
+        },
+    }
+}
