--- /dev/null
+++ b/crates/operators/tests/patch.rs
@@ -0,0 +1,145 @@
+//! Reading and checking of patches.
+
+use operators::{check, configuration::Configuration, patch};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const HEAD: &str = "id: 2f8b3a52-5d8e-4c6a-9c1b-0a4f6c1d2e3f\nbase: 12\nchanges:\n";
+
+fn faults(text: &str) -> Vec<(String, String)> {
+    match patch::Patch::from_yaml(text) {
+        Err(patch::PatchError::Invalid { faults }) => faults
+            .faults()
+            .iter()
+            .map(|fault| (fault.path.clone(), fault.remedy.to_owned()))
+            .collect(),
+        other => panic!("expected a list of faults, got {other:?}"),
+    }
+}
+
+// Guards against a field that is read into the wrong place or dropped.
+#[test]
+fn a_patch_with_every_kind_of_change_is_read_and_applied() {
+    let text = format!(
+        "{HEAD}
+  - set_operator: {{name: northlink, weight: 4, allowed_priority: high}}
+  - set_operator: {{name: marcha, weight: 1, allowed_priority: normal}}
+  - add_adapter: {{name: notes, base_model: m-8b, operator: northlink, versions: [2, 1], default_version: 2}}
+  - add_adapter: {{name: old, base_model: m-8b, operator: northlink, versions: [1], default_version: 1, priority: low}}
+  - replace_adapter: {{name: old, base_model: m-3b, operator: northlink, versions: [3], default_version: 3}}
+  - set_adapter_priority: {{name: notes, priority: high}}
+  - set_adapter_operator: {{name: notes, operator: marcha}}
+  - remove_adapter: {{name: old}}
+  - remove_operator: {{name: northlink}}
+  - set_service: {{name: timetable, repeatable: true}}
+  - set_service: {{name: billing, repeatable: false}}
+  - remove_service: {{name: timetable}}
+"
+    );
+    let patch = patch::Patch::from_yaml(&text).unwrap();
+    assert_eq!((patch.base, patch.changes.len()), (12, 12));
+    let mut state = Configuration::default();
+    let list = check::check_patch(&state, &patch);
+    assert!(list.is_empty(), "{list}");
+    state.apply(&patch.changes);
+    assert_eq!(state.version(), 1);
+    assert_eq!(state.adapters().len(), 1);
+    let notes = state.adapter("notes").unwrap();
+    assert_eq!(
+        (&*notes.operator, &*notes.versions),
+        ("marcha", &[1, 2][..])
+    );
+    assert_eq!(state.resolve("notes", None).unwrap().version, 2);
+    assert!(state.resolve("notes", Some(3)).is_err());
+    assert!(state.operator("northlink").is_none());
+    assert!(!state.service("billing").unwrap().repeatable);
+}
+
+// Guards against a report that stops at the first fault, which costs the operator a round per fault.
+#[test]
+fn every_fault_is_listed_with_its_path_and_a_remedy() {
+    let text = "id: 7\nversion: 3\nchanges:
+  - add_adapter: {name: a b, base_model: m, operator: o, versions: [1], default_version: 4, colour: red}
+  - set_operator: {name: o, weight: 0, allowed_priority: urgent}
+  - grow: {name: a}
+  - remove_adapter: {}
+  - [1]
+";
+    let list = faults(text);
+    let paths: Vec<&str> = list.iter().map(|(path, _)| path.as_str()).collect();
+    let expected = [
+        "id",
+        "base",
+        "version",
+        "changes[0].add_adapter.name",
+        "changes[0].add_adapter.default_version",
+        "changes[0].add_adapter.colour",
+        "changes[1].set_operator.allowed_priority",
+        "changes[1].set_operator.weight",
+        "changes[2].grow",
+        "changes[3].remove_adapter.name",
+        "changes[4]",
+    ];
+    assert_eq!(paths, expected);
+    assert!(list.iter().all(|(_, remedy)| !remedy.is_empty()));
+}
+
+// Guards against a small or large text that takes unbounded memory or time to read.
+#[test_case(&"x".repeat(10_000_000), "patch has 10000000 bytes"; "huge")]
+#[test_case(&"[".repeat(5_000), "not valid YAML"; "deep")]
+#[test_case("a: &a [1, 1]\nb: &b [*a, *a]\nc: [*b, *b]", "not valid YAML"; "aliases")]
+#[test_case("id: 1\nid: 2", "not valid YAML"; "duplicate key")]
+#[test_case("a: 1\n---\nb: 2", "not valid YAML"; "two documents")]
+#[test_case("", "has faults"; "empty")]
+fn hostile_texts_give_a_clear_error(text: &str, expected: &str) {
+    let message = patch::Patch::from_yaml(text).unwrap_err().to_string();
+    assert!(message.contains(expected), "{message}");
+    assert!(message.len() < 20_000, "{} bytes", message.len());
+}
+
+// Guards against an unbounded list of faults or changes.
+#[test]
+fn lists_of_faults_and_changes_are_bounded() {
+    let many = format!("{HEAD}{}", "  - grow: {}\n".repeat(1_000));
+    let error = patch::Patch::from_yaml(&many).unwrap_err().to_string();
+    assert!(error.contains("and 950 more"), "{error}");
+    let more = format!("{HEAD}{}", "  - {a: 1}\n".repeat(patch::MAX_CHANGES + 1));
+    assert_eq!(faults(&more)[0].0, "changes");
+}
+
+// Guards against publishing a patch whose changes would be skipped silently.
+#[test_case(
+    "add_adapter: {name: a, base_model: m, operator: nobody, versions: [1], default_version: 1}"
+)]
+#[test_case(
+    "replace_adapter: {name: a, base_model: m, operator: nobody, versions: [1], default_version: 1}"
+)]
+#[test_case("remove_adapter: {name: a}")]
+#[test_case("set_adapter_priority: {name: a, priority: low}")]
+#[test_case("set_adapter_operator: {name: a, operator: o}")]
+#[test_case("remove_operator: {name: o}")]
+#[test_case("remove_service: {name: s}")]
+fn changes_that_do_not_fit_the_state_are_found(change: &str) {
+    let patch = patch::Patch::from_yaml(&format!("{HEAD}  - {change}\n")).unwrap();
+    assert!(!check::check_patch(&Configuration::default(), &patch).is_empty());
+}
+
+proptest! {
+    // Guards against a panic on text that an operator mangled.
+    #[test]
+    fn mangled_patches_never_panic(cut in 0_usize..200, insert in "[\\PC\n\t]{0,20}") {
+        let text = format!("{HEAD}  - set_operator: {{name: n, weight: 4, allowed_priority: high}}\n  - remove_adapter: {{name: a}}\n");
+        let at = cut.min(text.len());
+        let mangled = format!("{}{insert}{}", &text[..at], &text[at..]);
+        if let Err(error) = patch::Patch::from_yaml(&mangled) {
+            prop_assert!(!error.to_string().is_empty());
+        }
+    }
+
+    // Guards against a panic on records that another program wrote.
+    #[test]
+    fn foreign_records_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300), patch in any::<bool>()) {
+        let head: &[u8] = if patch { b"\"patch\"\n" } else { b"" };
+        let _ = operators::snapshot::decode_record(&[head, &bytes].concat());
+    }
+}
--- /dev/null
+++ b/crates/operators/tests/replay.rs
@@ -0,0 +1,322 @@
+//! Replay of the configuration stream.
+
+mod support;
+
+use std::{sync::Arc, time};
+
+use decisions::units;
+use operators::{configuration::Configuration, patch, replay, snapshot};
+use proptest::prelude::*;
+use support::{RETENTION, TestLog, adapter, patch};
+
+fn reader() -> replay::ConfigurationReplay {
+    replay::ConfigurationReplay::new(RETENTION)
+}
+
+fn read_all(log: &TestLog, reader: &mut replay::ConfigurationReplay) {
+    for _ in 0..=3 * log.records.len() {
+        log.read(reader, 3);
+    }
+}
+
+fn parts(id: u128, snapshot: &snapshot::Snapshot) -> Vec<Vec<u8>> {
+    snapshot::encode_snapshot(uuid::Uuid::from_u128(id), snapshot, 400).unwrap()
+}
+
+fn outcome(log: &mut TestLog, patch: &patch::Patch) -> replay::PatchOutcome {
+    log.append(snapshot::encode_patch(patch))[0].outcome
+}
+
+fn large_state() -> Configuration {
+    let mut state = Configuration::default();
+    let changes: Vec<patch::Change> = (0..21_000)
+        .map(|index| {
+            let name = format!("northlink/class-notes-{index:05}");
+            patch::Change::AddAdapter(adapter(&name, units::Priority::Normal))
+        })
+        .collect();
+    state.apply(&changes);
+    state
+}
+
+// Guards against two racing operators who are both told that their patch was accepted.
+#[test]
+fn of_two_racing_patches_the_first_is_accepted_and_the_other_sees_the_current_version() {
+    let mut log = TestLog::new();
+    let accepted = outcome(&mut log, &patch(1, 0));
+    assert_eq!(accepted, replay::PatchOutcome::Accepted { version: 1 });
+    let refused = outcome(&mut log, &patch(2, 0));
+    assert_eq!(refused, replay::PatchOutcome::Refused { current: 1 });
+    let duplicate = outcome(&mut log, &patch(1, 0));
+    assert_eq!(duplicate, replay::PatchOutcome::Duplicate { version: 1 });
+    // The same id with a new base is still a duplicate.
+    let duplicate = outcome(&mut log, &patch(1, 1));
+    assert_eq!(duplicate, replay::PatchOutcome::Duplicate { version: 1 });
+    assert_eq!(log.reference.version(), 1);
+}
+
+// Guards against readers that disagree on duplicates because their windows differ.
+#[test]
+fn the_window_of_duplicates_is_bounded_and_travels_with_snapshots() {
+    let mut log = TestLog::new();
+    let count = replay::RECENT_PATCHES as u64 + 1;
+    for base in 0..count {
+        outcome(&mut log, &patch(u128::from(base), base));
+    }
+    let snapshot = log.reference.snapshot().unwrap();
+    assert_eq!(snapshot.recent.len(), replay::RECENT_PATCHES);
+    let mut cold = reader();
+    cold.adopt_image(&snapshot::encode_image(&snapshot), None)
+        .unwrap();
+    let forgotten = outcome(&mut log, &patch(0, count));
+    assert_eq!(
+        forgotten,
+        replay::PatchOutcome::Accepted { version: count + 1 }
+    );
+    let known = outcome(&mut log, &patch(1, count + 1));
+    assert_eq!(known, replay::PatchOutcome::Accepted { version: count + 2 });
+    let known = outcome(&mut log, &patch(3, count + 2));
+    assert_eq!(known, replay::PatchOutcome::Duplicate { version: 4 });
+    read_all(&log, &mut cold);
+    assert!(cold.is_caught_up() && log.agrees(&cold));
+}
+
+// Guards against a cold reader that uses a snapshot although records after it have expired.
+#[test]
+fn a_stale_snapshot_is_not_used_by_a_cold_reader() {
+    let mut log = TestLog::new();
+    outcome(&mut log, &patch(1, 0));
+    let stale = log.reference.snapshot().unwrap();
+    outcome(&mut log, &patch(2, 1));
+    outcome(&mut log, &patch(3, 2));
+    log.expire();
+    log.expire();
+    for part in parts(9, &stale) {
+        log.append(part);
+    }
+    let mut cold = reader();
+    read_all(&log, &mut cold);
+    assert!(cold.needs_image() && cold.configuration().is_none());
+    let image = snapshot::encode_image(&stale);
+    let refused = cold.adopt_image(&image, Some(log.first_retained));
+    assert!(matches!(
+        refused,
+        Err(replay::ImageError::RecordsExpired { .. })
+    ));
+    let fresh = log.reference.snapshot().unwrap();
+    for part in parts(10, &fresh) {
+        log.append(part);
+    }
+    read_all(&log, &mut cold);
+    assert!(cold.is_caught_up() && log.agrees(&cold) && cold.version() == 3);
+}
+
+// Guards against a snapshot that is taken with parts missing or with parts of another one.
+#[test]
+fn incomplete_and_mixed_snapshots_are_ignored() {
+    let mut log = TestLog::new();
+    for base in 0..8 {
+        outcome(&mut log, &patch(u128::from(base), base));
+    }
+    let first = parts(1, &log.reference.snapshot().unwrap());
+    outcome(&mut log, &patch(100, 8));
+    let second = parts(2, &log.reference.snapshot().unwrap());
+    assert!(first.len() > 3 && second.len() > 3);
+    let start = log.end();
+    let mixed = first[..2].iter().chain(&second[2..]).chain(&first[..2]);
+    for part in mixed {
+        log.append(part.clone());
+    }
+    while log.first_retained < start {
+        log.expire();
+    }
+    let mut cold = reader();
+    read_all(&log, &mut cold);
+    assert!(cold.needs_image());
+    // The missing parts complete the second snapshot, in any order.
+    for part in second[..2].iter().rev() {
+        log.append(part.clone());
+    }
+    read_all(&log, &mut cold);
+    assert!(cold.is_caught_up() && log.agrees(&cold) && cold.version() == 9);
+}
+
+// Guards against a peer that puts an older configuration back into effect.
+#[test]
+fn images_never_lower_the_version() {
+    let mut log = TestLog::new();
+    outcome(&mut log, &patch(1, 0));
+    let old = snapshot::encode_image(&log.reference.snapshot().unwrap());
+    outcome(&mut log, &patch(2, 1));
+    let new = snapshot::encode_image(&log.reference.snapshot().unwrap());
+    let mut cold = reader();
+    cold.adopt_image(&new, None).unwrap();
+    let lower = cold.adopt_image(&old, None);
+    assert!(matches!(
+        lower,
+        Err(replay::ImageError::LowerVersion { .. })
+    ));
+    let mut torn = old.clone();
+    torn.version = 5;
+    assert!(cold.adopt_image(&torn, None).is_err());
+    assert_eq!(cold.version(), 2);
+}
+
+// Guards against snapshots that are appended too late to survive or by every process at once.
+#[test]
+fn a_snapshot_is_due_at_a_quarter_of_the_retention_and_again_if_its_append_was_lost() {
+    let at = |seconds: u64| units::Timestamp(0) + time::Duration::from_secs(seconds);
+    let mut log = TestLog::new();
+    outcome(&mut log, &patch(1, 0));
+    let mut follower = reader();
+    log.read_at(&mut follower, 9, at(0));
+    assert!(
+        follower.is_snapshot_due(at(1_000)),
+        "a restart waits at most a quarter"
+    );
+    follower.note_attempt(at(1_000));
+    assert!(!follower.is_snapshot_due(at(1_000)));
+    assert!(
+        follower.is_snapshot_due(at(1_063)),
+        "an unread append is repeated"
+    );
+    for part in parts(1, &follower.snapshot().unwrap()) {
+        log.append(part);
+    }
+    log.read_at(&mut follower, 9, at(1_100));
+    assert!(!follower.is_snapshot_due(at(2_099)));
+    assert!(follower.is_snapshot_due(at(2_350)));
+}
+
+// Guards against a state at the target size that exceeds the memory or the record limit.
+#[test]
+fn the_target_size_fits_memory_and_records() {
+    let state = Arc::new(large_state());
+    let snapshot = snapshot::Snapshot {
+        as_of: 1,
+        configuration: Arc::clone(&state),
+        recent: Vec::new(),
+    };
+    let records = parts_of(&snapshot);
+    let log_bytes: usize = records.iter().map(Vec::len).sum();
+    println!(
+        "21,000 adapters with 2 versions: {} bytes in memory, {log_bytes} bytes in {} records",
+        state.byte_size(),
+        records.len()
+    );
+    assert!(state.byte_size() < 4_000_000);
+    assert!(records.len() > 1);
+    assert!(
+        records
+            .iter()
+            .all(|record| record.len() <= snapshot::MAX_RECORD_BYTES)
+    );
+    let mut changed = (*state).clone();
+    let rename = patch(1, 1);
+    changed.apply(&rename.changes);
+    let shared = state
+        .adapters()
+        .iter()
+        .filter(|entry| {
+            changed
+                .adapters()
+                .iter()
+                .any(|other| Arc::ptr_eq(entry, other))
+        })
+        .take(100)
+        .count();
+    assert_eq!(shared, 100, "entries are shared between versions");
+    let mut log = TestLog::new();
+    log.append(Vec::new());
+    log.expire();
+    for record in records {
+        log.records.push_back(Arc::new(record));
+    }
+    let mut cold = reader();
+    read_all(&log, &mut cold);
+    assert_eq!(cold.configuration(), Some(&state));
+}
+
+fn parts_of(snapshot: &snapshot::Snapshot) -> Vec<Vec<u8>> {
+    let id = uuid::Uuid::from_u128(1);
+    snapshot::encode_snapshot(id, snapshot, snapshot::MAX_PART_BYTES).unwrap()
+}
+
+#[derive(Clone, Debug)]
+enum LogStep {
+    Patch { id: u128, lag: u64 },
+    Capture,
+    Append { captured: usize, parts: usize },
+    Foreign,
+    Expire,
+    Fork,
+    Read { reader: usize, max: usize },
+    Image { from: usize, to: usize },
+}
+
+fn log_step() -> impl Strategy<Value = LogStep> {
+    prop_oneof![
+        5 => (0_u128..30, prop_oneof![4 => Just(0), 1 => 1_u64..3])
+            .prop_map(|(id, lag)| LogStep::Patch { id, lag }),
+        2 => Just(LogStep::Capture),
+        2 => (0_usize..4, 1_usize..9).prop_map(|(captured, parts)| LogStep::Append { captured, parts }),
+        1 => Just(LogStep::Foreign),
+        4 => Just(LogStep::Expire),
+        1 => Just(LogStep::Fork),
+        4 => (0_usize..6, 1_usize..5).prop_map(|(reader, max)| LogStep::Read { reader, max }),
+        1 => (0_usize..6, 0_usize..6).prop_map(|(from, to)| LogStep::Image { from, to }),
+    ]
+}
+
+proptest! {
+    // Guards against readers that start at different places and reach different configurations.
+    #[test]
+    fn readers_that_start_anywhere_agree_and_never_go_back(
+        steps in proptest::collection::vec(log_step(), 1..80)
+    ) {
+        let mut log = TestLog::new();
+        let mut captured = Vec::new();
+        let mut readers = vec![reader(); 3];
+        for (index, step) in steps.into_iter().enumerate() {
+            let before: Vec<u64> = readers.iter().map(replay::ConfigurationReplay::version).collect();
+            match step {
+                LogStep::Patch { id, lag } => {
+                    let base = log.reference.version().saturating_sub(lag);
+                    log.append(snapshot::encode_patch(&patch(id, base)));
+                }
+                LogStep::Capture => captured.extend(log.reference.snapshot()),
+                LogStep::Append { captured: back, parts: take } => {
+                    if let Some(snapshot) = captured.iter().rev().nth(back) {
+                        for part in parts(index as u128, snapshot).into_iter().take(take) {
+                            log.append(part);
+                        }
+                    }
+                }
+                LogStep::Foreign => { log.append(b"\"patch\"\n{}".to_vec()); }
+                LogStep::Expire => log.expire(),
+                LogStep::Fork if readers.len() < 6 => readers.push(reader()),
+                LogStep::Fork => {}
+                LogStep::Read { reader, max } => {
+                    let index = reader % readers.len();
+                    log.read(&mut readers[index], max);
+                }
+                LogStep::Image { from, to } => {
+                    if let Some(snapshot) = readers[from % readers.len()].snapshot() {
+                        let to = to % readers.len();
+                        let image = snapshot::encode_image(&snapshot);
+                        let _ = readers[to].adopt_image(&image, None);
+                    }
+                }
+            }
+            for (reader, before) in readers.iter().zip(before) {
+                prop_assert!(log.agrees(reader));
+                prop_assert!(reader.version() >= before);
+            }
+        }
+        for reader in &mut readers {
+            read_all(&log, reader);
+            prop_assert!(log.agrees(reader));
+            prop_assert!(reader.is_caught_up() || reader.needs_image());
+        }
+    }
+}
