--- a/crates/operators/src/replay.rs
+++ b/crates/operators/src/replay.rs
@@ -143,6 +143,13 @@
             .map_or(0, |state| state.version())
     }
 
+    /// Version that a patch produced, if it was accepted recently.
+    #[must_use]
+    pub fn accepted_version(&self, id: patch::PatchId) -> Option<u64> {
+        let accepted = self.recent.iter().find(|accepted| accepted.id == id)?;
+        Some(accepted.version)
+    }
+
     /// Whether every record up to the end seen last has been applied.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
@@ -312,9 +319,7 @@
     }
 
     fn decide(&mut self, patch: &patch::Patch) -> PatchOutcome {
-        let known = self.recent.iter().find(|accepted| accepted.id == patch.id);
-        if let Some(accepted) = known {
-            let version = accepted.version;
+        if let Some(version) = self.accepted_version(patch.id) {
             return PatchOutcome::Duplicate { version };
         }
         let current = self.version();
--- /dev/null
+++ b/crates/platform/src/follower.rs
@@ -0,0 +1,235 @@
+//! Task that keeps the configuration of a process up to date.
+//!
+//! A configuration is published when the log's end was reached, or when the log fails and the
+//! state read so far is the best that is known. Later versions are published as they are read.
+
+use std::{sync::Arc, time};
+
+use futures::future::BoxFuture;
+use operators::snapshot;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{debug, info, warn};
+use tokio::{sync::watch, task};
+use uuid::Uuid;
+
+use crate::{
+    log::{self, LogService},
+    reader::{CONFIGURATION_STREAM, ConfigurationReader, ReadProgress},
+};
+
+/// Source of configuration images, for a process that cannot use the log.
+pub trait ImageSource: Send + Sync {
+    /// Newest image of the peers with at least this version.
+    fn image(&self, known_version: u64) -> BoxFuture<'_, Option<snapshot::ImageParts>>;
+}
+
+/// Settings of a follower.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowerSettings {
+    /// Time between reads at the end of the log.
+    pub interval: time::Duration,
+    /// Longest wait after failures; part of the 3 s in which a change takes effect.
+    pub longest_wait: time::Duration,
+    /// Retention of the log.
+    pub retention: time::Duration,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self {
+            interval: time::Duration::from_millis(500),
+            longest_wait: time::Duration::from_secs(2),
+            retention: time::Duration::from_hours(24),
+            seed: 0,
+        }
+    }
+}
+
+/// Configuration in effect and the offset that it holds at; none until one is known.
+pub type PublishedState = Option<Arc<snapshot::Snapshot>>;
+
+/// Running follower.
+pub struct ConfigurationFollower {
+    state: watch::Receiver<PublishedState>,
+    stop: watch::Sender<bool>,
+    task: task::JoinHandle<()>,
+}
+
+impl ConfigurationFollower {
+    /// Starts the task.
+    #[must_use]
+    pub fn start(
+        log: Arc<dyn LogService>,
+        images: Arc<dyn ImageSource>,
+        settings: FollowerSettings,
+        logger: slog::Logger,
+    ) -> Self {
+        let (sender, state) = watch::channel(None);
+        let (stop, stopped) = watch::channel(false);
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let follower = FollowerTask {
+            reader: ConfigurationReader::new(log, settings.retention, rng),
+            images,
+            settings,
+            sender,
+            failures: 0,
+            logger,
+        };
+        let task = tokio::spawn(follower.run(stopped));
+        Self { state, stop, task }
+    }
+
+    /// Published state; it changes with every version.
+    #[must_use]
+    pub fn state(&self) -> watch::Receiver<PublishedState> {
+        self.state.clone()
+    }
+
+    /// Stops the task and waits for its end.
+    pub async fn close(self) {
+        self.stop.send_replace(true);
+        // The task ends by itself; an error here means that it panicked, which was reported.
+        let _ = self.task.await;
+    }
+}
+
+struct FollowerTask {
+    reader: ConfigurationReader,
+    images: Arc<dyn ImageSource>,
+    settings: FollowerSettings,
+    sender: watch::Sender<PublishedState>,
+    failures: u32,
+    logger: slog::Logger,
+}
+
+impl FollowerTask {
+    async fn run(mut self, mut stopped: watch::Receiver<bool>) {
+        loop {
+            tokio::select! {
+                // An error means that the handle was dropped without `close`.
+                _ = stopped.changed() => return,
+                () = self.cycle() => {}
+            }
+        }
+    }
+
+    async fn cycle(&mut self) {
+        match self.reader.advance().await {
+            Ok(progress) => {
+                if self.failures > 0 {
+                    info!(self.logger, "log available again"; "event" => "C1", "failures" => self.failures);
+                }
+                self.failures = 0;
+                self.react(progress).await;
+            }
+            Err(error) => {
+                self.failures = self.failures.saturating_add(1);
+                warn!(self.logger, "log not readable"; "event" => "C2", "error" => %error);
+                self.take_image().await;
+                self.publish();
+                let wait = self.failure_wait();
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+
+    async fn react(&mut self, progress: ReadProgress) {
+        match progress {
+            ReadProgress::Moved => {
+                if self.sender.borrow().is_some() {
+                    self.publish();
+                }
+                return;
+            }
+            ReadProgress::CaughtUp => {
+                self.publish();
+                self.append_snapshot().await;
+            }
+            ReadProgress::NeedsImage => {
+                self.take_image().await;
+                self.publish();
+            }
+            ReadProgress::Waiting => {}
+        }
+        tokio::time::sleep(self.settings.interval).await;
+    }
+
+    /// Doubles with each failure; the jitter keeps processes from returning all at once.
+    fn failure_wait(&mut self) -> time::Duration {
+        let doubled = self.settings.interval * 2_u32.pow(self.failures.min(6) - 1);
+        let longest = doubled.min(self.settings.longest_wait);
+        longest.mul_f64(self.reader.rng().random_range(0.5..1.0))
+    }
+
+    async fn take_image(&mut self) {
+        if self.reader.replay().is_following() {
+            return;
+        }
+        let version = self.reader.replay().version();
+        let Some(image) = self.images.image(version).await else {
+            return;
+        };
+        let first_retained = self.reader.first_retained();
+        let adopted = self.reader.replay_mut().adopt_image(&image, first_retained);
+        match adopted {
+            Ok(()) => {
+                info!(self.logger, "image taken from a peer"; "event" => "C3", "version" => image.version);
+            }
+            Err(error) => {
+                debug!(self.logger, "image of a peer not used"; "event" => "C4", "error" => %error);
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let Some(snapshot) = self.reader.replay().snapshot() else {
+            return;
+        };
+        self.sender.send_if_modified(|state| {
+            let version = snapshot.configuration.version();
+            let current = state.as_ref().map(|state| state.configuration.version());
+            let newer = current.is_none_or(|current| version > current);
+            let moved = state
+                .as_ref()
+                .is_none_or(|state| snapshot.as_of > state.as_of);
+            if newer || moved {
+                *state = Some(Arc::new(snapshot));
+            }
+            newer
+        });
+    }
+
+    async fn append_snapshot(&mut self) {
+        let now = self.reader.now();
+        if !self.reader.replay().is_snapshot_due(now) {
+            return;
+        }
+        self.reader.replay_mut().note_attempt(now);
+        let Some(state) = self.reader.replay().snapshot() else {
+            return;
+        };
+        let id = Uuid::from_u128(self.reader.rng().random());
+        let records = match snapshot::encode_snapshot(id, &state, snapshot::MAX_PART_BYTES) {
+            Ok(records) => records,
+            Err(error) => {
+                warn!(self.logger, "snapshot not written"; "event" => "C5", "error" => %error);
+                return;
+            }
+        };
+        // One call per part keeps calls small; readers tell interleaved snapshots apart.
+        for record in records {
+            if let Err(error) = self.append(record).await {
+                warn!(self.logger, "snapshot not appended"; "event" => "C6", "error" => %error);
+                return;
+            }
+        }
+    }
+
+    async fn append(&self, record: Vec<u8>) -> Result<u64, log::LogError> {
+        let log = self.reader.log();
+        log.append(CONFIGURATION_STREAM, vec![record.into()]).await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,304 @@
+//! HTTP implementation of the platform's interfaces.
+//!
+//! All bodies are JSON; payloads of records are in base64.
+//!
+//! | call | body | answer |
+//! |---|---|---|
+//! | `POST /log/{stream}` | `{"records": [payload]}` | 200 `{"first_offset": n}` |
+//! | `GET /log/{stream}?from=n&max=m` | – | 200 `{"first_retained", "end", "records": [{"offset", "payload"}]}`; 410 `{"first_retained"}` when `from` has expired |
+//! | `GET /instances` | – | 200 `{"instances": [{"address", "role", "data_centre", "state"}]}` |
+//! | `POST /weights/{adapter}` | – | 200 `{}` when loaded; 429 `{"retry_after_millis"}` |
+//!
+//! 400 and 413 mean that the call will never be taken, 503 that it had no effect. After any other
+//! status, a broken connection or a timeout, an append may have taken effect. A failure to connect
+//! is known to have no effect.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Deserialize, Serialize, de};
+use serde_with::{base64::Base64, serde_as};
+
+use crate::{instances, log, weights};
+
+/// Largest answer in bytes; base64 adds a third to the records.
+const MAX_ANSWER_BYTES: usize = 2 * log::MAX_READ_BYTES;
+
+/// Body of an append.
+#[serde_as]
+#[derive(Debug, Deserialize, Serialize)]
+pub struct AppendBody {
+    #[serde_as(as = "Vec<Base64>")]
+    pub records: Vec<Vec<u8>>,
+}
+
+/// Answer to an append.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct AppendAnswer {
+    pub first_offset: u64,
+}
+
+/// One record in an answer.
+#[serde_as]
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RecordBody {
+    pub offset: u64,
+    #[serde_as(as = "Base64")]
+    pub payload: Vec<u8>,
+}
+
+/// Answer to a read.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ReadAnswer {
+    pub first_retained: u64,
+    pub end: u64,
+    pub records: Vec<RecordBody>,
+}
+
+/// Answer to a read of an expired offset.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ExpiredAnswer {
+    pub first_retained: u64,
+}
+
+/// Answer with the instance list.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct InstancesAnswer {
+    pub instances: Vec<instances::Instance>,
+}
+
+/// Answer to a load that came too early.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RateAnswer {
+    pub retry_after_millis: u64,
+}
+
+/// Time limits of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Limit for opening a connection.
+    pub connect: time::Duration,
+    /// Limit for the whole call.
+    pub call: time::Duration,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            connect: time::Duration::from_millis(500),
+            call: time::Duration::from_secs(2),
+        }
+    }
+}
+
+/// Client for all services of the platform at one address.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: net::SocketAddr,
+    limits: HttpLimits,
+}
+
+struct HttpAnswer {
+    status: http::StatusCode,
+    body: Bytes,
+}
+
+struct HttpFailure {
+    /// Whether the request cannot have reached the server.
+    unsent: bool,
+    message: String,
+}
+
+impl PlatformClient {
+    /// Client that connects when it is first used.
+    #[must_use]
+    pub fn new(address: net::SocketAddr, limits: HttpLimits) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(limits.connect));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            address,
+            limits,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<HttpAnswer, HttpFailure> {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| HttpFailure {
+                unsent: true,
+                message: error.to_string(),
+            })?;
+        match tokio::time::timeout(self.limits.call, self.exchange(request)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(HttpFailure {
+                unsent: false,
+                message: format!("no answer within {} ms", self.limits.call.as_millis()),
+            }),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<HttpAnswer, HttpFailure> {
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|error| HttpFailure {
+                unsent: error.is_connect(),
+                message: error.to_string(),
+            })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| HttpFailure {
+                unsent: false,
+                message: error.to_string(),
+            })?
+            .to_bytes();
+        Ok(HttpAnswer { status, body })
+    }
+
+    async fn call_log<T: de::DeserializeOwned>(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<T, log::LogError> {
+        let answer = match self.call(method, path, body).await {
+            Ok(answer) => answer,
+            Err(HttpFailure {
+                unsent: true,
+                message,
+            }) => {
+                return Err(log::LogError::NotApplied { message });
+            }
+            Err(HttpFailure { message, .. }) => {
+                return Err(log::LogError::MaybeApplied { message });
+            }
+        };
+        let message = format!("status {}", answer.status);
+        match answer.status {
+            http::StatusCode::OK => parse(&answer.body),
+            http::StatusCode::GONE => {
+                let expired: ExpiredAnswer = parse(&answer.body)?;
+                let first_retained = expired.first_retained;
+                Err(log::LogError::OffsetExpired { first_retained })
+            }
+            http::StatusCode::SERVICE_UNAVAILABLE => Err(log::LogError::NotApplied { message }),
+            http::StatusCode::BAD_REQUEST | http::StatusCode::PAYLOAD_TOO_LARGE => {
+                Err(log::LogError::Refused { message })
+            }
+            _ => Err(log::LogError::MaybeApplied { message }),
+        }
+    }
+}
+
+impl log::LogService for PlatformClient {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        records: Vec<Bytes>,
+    ) -> BoxFuture<'a, Result<u64, log::LogError>> {
+        Box::pin(async move {
+            let records = records.iter().map(|record| record.to_vec()).collect();
+            let body = serde_json::to_vec(&AppendBody { records }).unwrap_or_default();
+            let path = format!("/log/{stream}");
+            let answer: AppendAnswer = self.call_log(http::Method::POST, &path, body).await?;
+            Ok(answer.first_offset)
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: u64,
+        max: usize,
+    ) -> BoxFuture<'a, Result<log::LogBatch, log::LogError>> {
+        Box::pin(async move {
+            let path = format!("/log/{stream}?from={from}&max={max}");
+            let answer: ReadAnswer = self.call_log(http::Method::GET, &path, Vec::new()).await?;
+            let records = answer
+                .records
+                .into_iter()
+                .map(|record| log::LogRecord {
+                    offset: record.offset,
+                    payload: Bytes::from(record.payload),
+                })
+                .collect();
+            Ok(log::LogBatch {
+                records,
+                first_retained: answer.first_retained,
+                end: answer.end,
+            })
+        })
+    }
+}
+
+impl instances::InstanceList for PlatformClient {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<instances::Instance>, instances::InstanceError>> {
+        let unavailable = |message| instances::InstanceError::Unavailable { message };
+        Box::pin(async move {
+            let answer = self
+                .call(http::Method::GET, "/instances", Vec::new())
+                .await
+                .map_err(|failure| unavailable(failure.message))?;
+            if answer.status != http::StatusCode::OK {
+                return Err(unavailable(format!("status {}", answer.status)));
+            }
+            let answer: InstancesAnswer = serde_json::from_slice(&answer.body)
+                .map_err(|error| unavailable(error.to_string()))?;
+            let mut list = answer.instances;
+            list.sort_unstable();
+            Ok(list)
+        })
+    }
+}
+
+impl weights::WeightStore for PlatformClient {
+    fn load<'a>(&'a self, adapter: &'a str) -> BoxFuture<'a, Result<(), weights::WeightError>> {
+        let unavailable = |message| weights::WeightError::Unavailable { message };
+        Box::pin(async move {
+            let path = format!("/weights/{adapter}");
+            let answer = self
+                .call(http::Method::POST, &path, Vec::new())
+                .await
+                .map_err(|failure| unavailable(failure.message))?;
+            match answer.status {
+                http::StatusCode::OK => Ok(()),
+                http::StatusCode::TOO_MANY_REQUESTS => {
+                    let answer: RateAnswer = serde_json::from_slice(&answer.body)
+                        .map_err(|error| unavailable(error.to_string()))?;
+                    let retry_after = time::Duration::from_millis(answer.retry_after_millis);
+                    Err(weights::WeightError::RateLimited { retry_after })
+                }
+                status => Err(unavailable(format!("status {status}"))),
+            }
+        })
+    }
+}
+
+fn parse<T: de::DeserializeOwned>(body: &[u8]) -> Result<T, log::LogError> {
+    serde_json::from_slice(body).map_err(|error| log::LogError::MaybeApplied {
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/platform/src/instances.rs
@@ -0,0 +1,48 @@
+//! Lagging list of live and leaving instances.
+
+use std::net;
+
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+use snafu::Snafu;
+
+/// Role of an instance.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceRole {
+    Agent,
+    Entry,
+}
+
+/// State of an instance as the platform sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    Leaving,
+    Live,
+}
+
+/// One instance.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Instance {
+    #[serde_as(as = "DisplayFromStr")]
+    pub address: net::SocketAddr,
+    pub role: InstanceRole,
+    pub data_centre: String,
+    pub state: InstanceState,
+}
+
+/// Reason why the list is not available.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+pub enum InstanceError {
+    #[snafu(display("the instance list is not available ({message}); keep the last list"))]
+    Unavailable { message: String },
+}
+
+/// Instance list of the platform.
+pub trait InstanceList: Send + Sync {
+    /// Instances sorted by address.
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Instance>, InstanceError>>;
+}
--- /dev/null
+++ b/crates/platform/src/stand_in/server.rs
@@ -0,0 +1,236 @@
+//! HTTP server on a loopback address for the stand-ins; the protocol is in [`crate::http`].
+
+use std::{io, net, sync::Arc, time};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body, service};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task,
+};
+
+use crate::{
+    http as protocol,
+    instances::InstanceList,
+    log::{LogBatch, LogError, LogService},
+    weights::{WeightError, WeightStore},
+};
+
+/// Largest request body in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Connections that are served at the same time; further ones wait.
+const MAX_CONNECTIONS: usize = 256;
+/// Wait after a connection could not be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Services behind one address.
+#[derive(Clone)]
+pub struct PlatformServices {
+    pub log: Arc<dyn LogService>,
+    pub instances: Arc<dyn InstanceList>,
+    pub weights: Arc<dyn WeightStore>,
+}
+
+/// Running server.
+pub struct PlatformServer {
+    address: net::SocketAddr,
+    task: task::JoinHandle<()>,
+}
+
+struct Answer {
+    status: http::StatusCode,
+    body: Vec<u8>,
+}
+
+impl PlatformServer {
+    /// Serves on a free loopback port.
+    ///
+    /// # Errors
+    /// The error of the socket when no port can be bound.
+    pub async fn start(services: PlatformServices) -> io::Result<Self> {
+        let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, services));
+        Ok(Self { address, task })
+    }
+
+    /// Address to connect to.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Stops the server and drops its connections.
+    pub async fn close(self) {
+        self.task.abort();
+        // The error of an aborted task carries no information.
+        let _ = self.task.await;
+    }
+}
+
+async fn accept(listener: TcpListener, services: PlatformServices) {
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    // Dropping the set with this task ends the connections.
+    let mut connections = task::JoinSet::new();
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        let services = services.clone();
+        connections.spawn(async move {
+            serve(stream, services).await;
+            drop(slot);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, services: PlatformServices) {
+    let handler = service::service_fn(move |request| {
+        let services = services.clone();
+        async move { respond(request, &services).await }
+    });
+    // A connection ends with an error when its client leaves or a reply is lost on purpose.
+    let _ = auto::Builder::new(TokioExecutor::new())
+        .serve_connection(TokioIo::new(stream), handler)
+        .await;
+}
+
+/// An error closes the connection without a reply.
+async fn respond(
+    request: http::Request<body::Incoming>,
+    services: &PlatformServices,
+) -> io::Result<http::Response<Full<Bytes>>> {
+    let answer = route(request, services).await?;
+    let mut response = http::Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() = answer.status;
+    Ok(response)
+}
+
+async fn route(
+    request: http::Request<body::Incoming>,
+    services: &PlatformServices,
+) -> io::Result<Answer> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let is_get = head.method == http::Method::GET;
+    let is_post = head.method == http::Method::POST;
+    if let Some(stream) = path.strip_prefix("/log/").filter(|_| is_get) {
+        return read(services, stream, head.uri.query().unwrap_or_default()).await;
+    }
+    if let Some(stream) = path.strip_prefix("/log/").filter(|_| is_post) {
+        return append(services, stream, body).await;
+    }
+    if let Some(adapter) = path.strip_prefix("/weights/").filter(|_| is_post) {
+        return Ok(load(services, adapter).await);
+    }
+    if path == "/instances" && is_get {
+        return Ok(match services.instances.list().await {
+            Ok(instances) => ok(&protocol::InstancesAnswer { instances }),
+            Err(_) => empty(http::StatusCode::SERVICE_UNAVAILABLE),
+        });
+    }
+    Ok(empty(http::StatusCode::NOT_FOUND))
+}
+
+async fn append(
+    services: &PlatformServices,
+    stream: &str,
+    body: body::Incoming,
+) -> io::Result<Answer> {
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return Ok(empty(http::StatusCode::PAYLOAD_TOO_LARGE));
+    };
+    let Ok(body) = serde_json::from_slice::<protocol::AppendBody>(&body.to_bytes()) else {
+        return Ok(empty(http::StatusCode::BAD_REQUEST));
+    };
+    let records = body.records.into_iter().map(Bytes::from).collect();
+    match services.log.append(stream, records).await {
+        Ok(first_offset) => Ok(ok(&protocol::AppendAnswer { first_offset })),
+        Err(error) => failure(error),
+    }
+}
+
+async fn read(services: &PlatformServices, stream: &str, query: &str) -> io::Result<Answer> {
+    let (Some(from), Some(max)) = (parameter(query, "from"), parameter(query, "max")) else {
+        return Ok(empty(http::StatusCode::BAD_REQUEST));
+    };
+    let max = usize::try_from(max).unwrap_or(usize::MAX);
+    match services.log.read(stream, from, max).await {
+        Ok(batch) => Ok(ok(&read_answer(batch))),
+        Err(error) => failure(error),
+    }
+}
+
+async fn load(services: &PlatformServices, adapter: &str) -> Answer {
+    match services.weights.load(adapter).await {
+        Ok(()) => empty(http::StatusCode::OK),
+        Err(WeightError::RateLimited { retry_after }) => {
+            let millis = retry_after.as_millis() + 1;
+            let retry_after_millis = u64::try_from(millis).unwrap_or(u64::MAX);
+            let mut answer = ok(&protocol::RateAnswer { retry_after_millis });
+            answer.status = http::StatusCode::TOO_MANY_REQUESTS;
+            answer
+        }
+        Err(WeightError::Unavailable { .. }) => empty(http::StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn failure(error: LogError) -> io::Result<Answer> {
+    match error {
+        LogError::NotApplied { .. } => Ok(empty(http::StatusCode::SERVICE_UNAVAILABLE)),
+        LogError::Refused { .. } => Ok(empty(http::StatusCode::BAD_REQUEST)),
+        LogError::OffsetExpired { first_retained } => {
+            let mut answer = ok(&protocol::ExpiredAnswer { first_retained });
+            answer.status = http::StatusCode::GONE;
+            Ok(answer)
+        }
+        LogError::MaybeApplied { message } => Err(io::Error::other(message)),
+    }
+}
+
+fn read_answer(batch: LogBatch) -> protocol::ReadAnswer {
+    let records = batch.records.into_iter();
+    protocol::ReadAnswer {
+        first_retained: batch.first_retained,
+        end: batch.end,
+        records: records
+            .map(|record| protocol::RecordBody {
+                offset: record.offset,
+                payload: record.payload.to_vec(),
+            })
+            .collect(),
+    }
+}
+
+fn parameter(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?
+        .parse()
+        .ok()
+}
+
+fn ok<T: Serialize>(value: &T) -> Answer {
+    Answer {
+        status: http::StatusCode::OK,
+        // Serialization to memory fails only for maps with keys that are not strings.
+        body: serde_json::to_vec(value).unwrap_or_default(),
+    }
+}
+
+fn empty(status: http::StatusCode) -> Answer {
+    Answer {
+        status,
+        body: b"{}".to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/stand_in/weights.rs
@@ -0,0 +1,115 @@
+//! Weight store in memory with a limited rate of load starts.
+//!
+//! A load above the rate is refused with the time until the next start is allowed. The loads in
+//! flight share the capacity of eight, so that each takes proportionally longer beyond that.
+
+use std::time;
+
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::weights::{WeightError, WeightStore};
+
+/// Load starts per second.
+pub const STARTS_PER_SECOND: f64 = 4.5;
+/// Load starts allowed at once after a pause.
+pub const START_BURST: f64 = 3.0;
+/// Loads in flight that do not slow each other down.
+pub const FREE_LOADS: u32 = 8;
+/// Time of a load that is not slowed down.
+pub const LOAD_TIME: time::Duration = time::Duration::from_millis(250);
+/// Progress is updated in steps of this length.
+const LOAD_STEP: time::Duration = time::Duration::from_millis(10);
+/// Absorbs the rounding of times to whole nanoseconds.
+const PERMIT_TOLERANCE: f64 = 1e-6;
+
+/// Weight store in memory.
+pub struct MemoryWeights {
+    state: Mutex<StoreState>,
+}
+
+struct StoreState {
+    permits: f64,
+    refilled: Instant,
+    in_flight: u32,
+    slowdown: f64,
+    down_until: Option<Instant>,
+}
+
+/// Counts a load as in flight until it is dropped, also when its caller gives up.
+struct LoadGuard<'a>(&'a MemoryWeights);
+
+impl Drop for LoadGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().in_flight -= 1;
+    }
+}
+
+impl Default for MemoryWeights {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(StoreState {
+                permits: START_BURST,
+                refilled: Instant::now(),
+                in_flight: 0,
+                slowdown: 1.0,
+                down_until: None,
+            }),
+        }
+    }
+}
+
+impl MemoryWeights {
+    /// Multiplies the time of every load, at least 1.
+    pub fn set_slowdown(&self, factor: f64) {
+        self.state.lock().slowdown = factor.max(1.0);
+    }
+
+    /// Fails every load start for a while.
+    pub fn set_down(&self, duration: time::Duration) {
+        self.state.lock().down_until = Some(Instant::now() + duration);
+    }
+
+    fn start(&self) -> Result<LoadGuard<'_>, WeightError> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        if state.down_until.is_some_and(|until| now < until) {
+            return Err(WeightError::Unavailable {
+                message: "the store is down".to_owned(),
+            });
+        }
+        let elapsed = now.duration_since(state.refilled).as_secs_f64();
+        state.permits = (state.permits + elapsed * STARTS_PER_SECOND).min(START_BURST);
+        state.refilled = now;
+        if state.permits + PERMIT_TOLERANCE < 1.0 {
+            let seconds = (1.0 - state.permits) / STARTS_PER_SECOND;
+            let retry_after = time::Duration::from_secs_f64(seconds);
+            return Err(WeightError::RateLimited { retry_after });
+        }
+        state.permits -= 1.0;
+        state.in_flight += 1;
+        Ok(LoadGuard(self))
+    }
+
+    /// Part of a load that is done in one step.
+    fn step_progress(&self) -> time::Duration {
+        let state = self.state.lock();
+        let share = f64::from(FREE_LOADS) / f64::from(state.in_flight.max(FREE_LOADS));
+        LOAD_STEP.mul_f64(share / state.slowdown)
+    }
+}
+
+impl WeightStore for MemoryWeights {
+    fn load<'a>(&'a self, _adapter: &'a str) -> BoxFuture<'a, Result<(), WeightError>> {
+        Box::pin(async move {
+            let _guard = self.start()?;
+            let mut progress = time::Duration::ZERO;
+            while progress < LOAD_TIME {
+                tokio::time::sleep(LOAD_STEP).await;
+                progress += self.step_progress();
+            }
+            Ok(())
+        })
+    }
+}
