Add check, publish, status and load commands

Cause: operators had no command to validate, publish or read state. Change: check lists all faults of settings and patches, publish completes a patch with base and id and tells accepted, refused, invalid and unknown apart by exit code, load drives entries, status prints an entry's state. The follower's log records use the numbered events.

--- a/crates/operators/src/patch.rs
+++ b/crates/operators/src/patch.rs
@@ -59,6 +59,13 @@
     pub changes: Vec<Change>,
 }
 
+/// Values for fields that the text of a patch leaves out.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PatchDefaults {
+    pub id: Option<Uuid>,
+    pub base: Option<u64>,
+}
+
 /// One change of the configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -135,11 +142,20 @@
     /// # Errors
     /// [`PatchError`] when the text is too large, is not YAML or has faults.
     pub fn from_yaml(text: &str) -> Result<Self, PatchError> {
+        Self::from_yaml_with(text, &PatchDefaults::default())
+    }
+
+    /// Reads a patch whose id and base may be given beside the text.
+    ///
+    /// # Errors
+    /// [`PatchError`] as for [`Self::from_yaml`], also when text and argument name different bases.
+    pub fn from_yaml_with(text: &str, defaults: &PatchDefaults) -> Result<Self, PatchError> {
         let bytes = text.len();
         ensure!(bytes <= MAX_TEXT_BYTES, TooLargeSnafu { bytes });
-        let root: Value =
+        let mut root: Value =
             serde_saphyr::from_str_with_options(text, yaml_options()).context(InvalidYamlSnafu)?;
         let mut faults = FaultList::default();
+        defaults.complete(&mut root, &mut faults);
         let patch = patch_reader::read_patch(root, &mut faults);
         match patch {
             Some(patch) if faults.is_empty() => {
@@ -152,6 +168,26 @@
     }
 }
 
+impl PatchDefaults {
+    /// Adds the fields that the text leaves out.
+    fn complete(&self, root: &mut Value, faults: &mut FaultList) {
+        let Some(fields) = root.as_object_mut() else {
+            return;
+        };
+        if let Some(id) = self.id {
+            fields.entry("id").or_insert_with(|| id.to_string().into());
+        }
+        let Some(base) = self.base else {
+            return;
+        };
+        let given = fields.entry("base").or_insert_with(|| base.into());
+        if given.as_u64() != Some(base) {
+            let problem = format!("is {given}, but {base} was given beside the text");
+            faults.push("base", problem, "write the patch against one version");
+        }
+    }
+}
+
 impl FaultList {
     /// Whether there is no fault.
     #[must_use]
--- a/crates/operators/tests/patch.rs
+++ b/crates/operators/tests/patch.rs
@@ -97,6 +97,22 @@
     assert!(message.len() < 20_000, "{} bytes", message.len());
 }
 
+// Guards against a command line that silently overrides the base in the text.
+#[test]
+fn base_beside_the_text_completes_it_and_must_not_contradict_it() {
+    let id = uuid::Uuid::from_u128(7);
+    let defaults = patch::PatchDefaults {
+        id: Some(id),
+        base: Some(3),
+    };
+    let changes = "changes: [{remove_adapter: {name: notes}}]";
+    let patch = patch::Patch::from_yaml_with(changes, &defaults).unwrap();
+    let contradicted = patch::Patch::from_yaml_with(&format!("base: 2\n{changes}"), &defaults);
+    assert_eq!((patch.id.0, patch.base), (id, 3));
+    let message = contradicted.unwrap_err().to_string();
+    assert!(message.contains("base: is 2, but 3 was given"), "{message}");
+}
+
 // Guards against an unbounded list of faults or changes.
 #[test]
 fn lists_of_faults_and_changes_are_bounded() {
--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -9,7 +9,7 @@
 use operators::snapshot;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slog::{debug, info, warn};
+use telemetry::{events, logs};
 use tokio::{sync::watch, task};
 use uuid::Uuid;
 
@@ -120,14 +120,16 @@
         match self.reader.advance().await {
             Ok(progress) => {
                 if self.failures > 0 {
-                    info!(self.logger, "log available again"; "event" => "C1", "failures" => self.failures);
+                    let message = format!("the log answers again after {} failures", self.failures);
+                    logs::info(&self.logger, events::LOG_RECOVERED, &message);
                 }
                 self.failures = 0;
                 self.react(progress).await;
             }
             Err(error) => {
                 self.failures = self.failures.saturating_add(1);
-                warn!(self.logger, "log not readable"; "event" => "C2", "error" => %error);
+                let message = format!("the log cannot be read: {error}");
+                logs::warn(&self.logger, events::LOG_UNAVAILABLE, &message);
                 self.take_image().await;
                 self.publish();
                 let wait = self.failure_wait();
@@ -176,10 +178,12 @@
         let adopted = self.reader.replay_mut().adopt_image(&image, first_retained);
         match adopted {
             Ok(()) => {
-                info!(self.logger, "image taken from a peer"; "event" => "C3", "version" => image.version);
+                let message = format!("configuration version {} taken from a peer", image.version);
+                logs::info(&self.logger, events::CONFIGURATION_FROM_PEER, &message);
             }
             Err(error) => {
-                debug!(self.logger, "image of a peer not used"; "event" => "C4", "error" => %error);
+                let message = format!("the configuration of a peer cannot be used: {error}");
+                logs::warn(&self.logger, events::PEER_IMAGE_REFUSED, &message);
             }
         }
     }
@@ -198,6 +202,10 @@
             if newer || moved {
                 *state = Some(Arc::new(snapshot));
             }
+            if newer {
+                let message = format!("configuration version {version} is in effect");
+                logs::info(&self.logger, events::CONFIGURATION_APPLIED, &message);
+            }
             newer
         });
     }
@@ -215,17 +223,22 @@
         let records = match snapshot::encode_snapshot(id, &state, snapshot::MAX_PART_BYTES) {
             Ok(records) => records,
             Err(error) => {
-                warn!(self.logger, "snapshot not written"; "event" => "C5", "error" => %error);
+                let message = format!("the snapshot cannot be encoded: {error}");
+                logs::error(&self.logger, events::SNAPSHOT_FAILED, &message);
                 return;
             }
         };
         // One call per part keeps calls small; readers tell interleaved snapshots apart.
         for record in records {
             if let Err(error) = self.append(record).await {
-                warn!(self.logger, "snapshot not appended"; "event" => "C6", "error" => %error);
+                let message = format!("the snapshot cannot be appended: {error}");
+                logs::warn(&self.logger, events::SNAPSHOT_FAILED, &message);
                 return;
             }
         }
+        let version = state.configuration.version();
+        let message = format!("snapshot of configuration version {version} appended");
+        logs::info(&self.logger, events::SNAPSHOT_APPENDED, &message);
     }
 
     async fn append(&self, record: Vec<u8>) -> Result<u64, log::LogError> {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -54,6 +54,8 @@
     SNAPSHOT_APPENDED = 505, "snapshot_appended";
     CONFIGURATION_FROM_PEER = 506, "configuration_from_peer";
     INSTANCE_LIST_UNAVAILABLE = 507, "instance_list_unavailable";
+    SNAPSHOT_FAILED = 508, "snapshot_failed";
+    PEER_IMAGE_REFUSED = 509, "peer_image_refused";
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,144 @@
+//! Check of settings files and patches.
+
+use std::{fs, io};
+
+use agent::settings::AgentSettings;
+use entry::settings::EntrySettings;
+use operators::patch;
+use serde::{Deserialize, de::DeserializeOwned};
+use snafu::{ResultExt, Snafu};
+
+/// Reason why a file cannot be checked.
+#[derive(Debug, Snafu)]
+pub enum CheckError {
+    #[snafu(display("cannot read {path}: {source}; check the path"))]
+    Read { path: String, source: io::Error },
+}
+
+/// Kind of a checked file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FileKind {
+    Agent,
+    Entry,
+    Patch,
+}
+
+/// Faults found in a file; empty if it can be used.
+#[derive(Debug)]
+pub struct CheckReport {
+    pub kind: Option<FileKind>,
+    pub faults: Vec<String>,
+}
+
+/// Top-level fields that tell the kinds apart.
+#[derive(Deserialize)]
+struct KindFields {
+    changes: Option<serde::de::IgnoredAny>,
+    replicas: Option<serde::de::IgnoredAny>,
+    services: Option<serde::de::IgnoredAny>,
+    listen: Option<serde::de::IgnoredAny>,
+}
+
+/// Checks a file.
+///
+/// # Errors
+/// [`CheckError`] when the file cannot be read.
+pub fn check_file(path: &str) -> Result<CheckReport, CheckError> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    Ok(check_text(&text))
+}
+
+fn check_text(text: &str) -> CheckReport {
+    let fields: KindFields = match serde_saphyr::from_str(text) {
+        Ok(fields) => fields,
+        Err(error) => {
+            return CheckReport {
+                kind: None,
+                faults: vec![error.to_string()],
+            };
+        }
+    };
+    let Some(kind) = fields.kind() else {
+        let fault = "no known kind of file: an entry or agent has `listen`, a patch has `changes`";
+        return CheckReport {
+            kind: None,
+            faults: vec![fault.into()],
+        };
+    };
+    let faults = match kind {
+        FileKind::Patch => patch_faults(text),
+        FileKind::Agent => settings_faults::<AgentSettings>(text),
+        FileKind::Entry => settings_faults::<EntrySettings>(text),
+    };
+    CheckReport {
+        kind: Some(kind),
+        faults,
+    }
+}
+
+impl KindFields {
+    fn kind(&self) -> Option<FileKind> {
+        if self.changes.is_some() {
+            return Some(FileKind::Patch);
+        }
+        if self.replicas.is_some() || self.services.is_some() {
+            return Some(FileKind::Agent);
+        }
+        self.listen.is_some().then_some(FileKind::Entry)
+    }
+}
+
+fn patch_faults(text: &str) -> Vec<String> {
+    let defaults = patch::PatchDefaults {
+        id: Some(uuid::Uuid::nil()),
+        base: None,
+    };
+    match patch::Patch::from_yaml_with(text, &defaults) {
+        Ok(_) => Vec::new(),
+        Err(patch::PatchError::Invalid { faults }) => {
+            let faults = faults.faults().iter();
+            faults
+                .filter(|fault| !is_missing_base(fault))
+                .map(|fault| format!("{}: {}; {}", fault.path, fault.problem, fault.remedy))
+                .collect()
+        }
+        Err(error) => vec![error.to_string()],
+    }
+}
+
+/// `publish --base` completes a patch without a base.
+fn is_missing_base(fault: &patch::PatchFault) -> bool {
+    fault.path == "base" && fault.problem.contains("missing")
+}
+
+fn settings_faults<T: DeserializeOwned>(text: &str) -> Vec<String> {
+    match serde_saphyr::from_str::<T>(text) {
+        Ok(_) => Vec::new(),
+        Err(error) => vec![error.to_string()],
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use test_case::test_case;
+
+    use super::*;
+
+    // Guards against examples that a new user cannot start.
+    #[test_case(include_str!("../examples/agent.yaml"), FileKind::Agent; "agent")]
+    #[test_case(include_str!("../examples/entry.yaml"), FileKind::Entry; "entry")]
+    #[test_case(include_str!("../examples/patch.yaml"), FileKind::Patch; "patch")]
+    fn examples_are_valid(text: &str, kind: FileKind) {
+        let report = check_text(text);
+        assert_eq!(report.kind, Some(kind));
+        assert!(report.faults.is_empty(), "{:?}", report.faults);
+    }
+
+    // Guards against a misspelt field that is silently ignored.
+    #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nbase_modle: b\nagents: []"; "entry")]
+    #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nreplicas: []\ndrain: 3"; "agent")]
+    #[test_case("changes: [{remove_adaptor: {name: a}}]"; "patch")]
+    fn unknown_fields_are_faults(text: &str) {
+        assert!(!check_text(text).faults.is_empty());
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! Arguments of the command line.
 
-use clap::{Arg, ArgAction, Command};
+use clap::{Arg, ArgAction, Command, value_parser};
 
 /// Argument parser of the binary.
 #[must_use]
@@ -10,24 +10,130 @@
         .about("Serving layer for very many LoRA adapters")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(role(
+            "entry",
+            "Serves callers and dispatches to agents",
+            "Example: cowslipdeal entry --settings examples/entry.yaml",
+        ))
+        .subcommand(role(
+            "agent",
+            "Stands beside the endpoints of one instance",
+            "Example: cowslipdeal agent --settings examples/agent.yaml",
+        ))
+        .subcommand(check())
+        .subcommand(publish())
+        .subcommand(status())
+        .subcommand(load())
         .subcommand(demo())
-        .subcommand(
-            role("entry", "Serves callers and dispatches to agents")
-                .after_help("Example: cowslipdeal entry --settings examples/entry.yaml"),
-        )
-        .subcommand(
-            role("agent", "Stands beside the endpoints of one instance")
-                .after_help("Example: cowslipdeal agent --settings examples/agent.yaml"),
-        )
 }
 
-fn role(name: &'static str, about: &'static str) -> Command {
+fn role(name: &'static str, about: &'static str, example: &'static str) -> Command {
     let settings = Arg::new("settings")
         .long("settings")
         .value_name("FILE")
         .required(true)
         .help("YAML settings of this process");
-    Command::new(name).about(about).arg(settings)
+    Command::new(name)
+        .about(about)
+        .arg(settings)
+        .after_help(example)
+}
+
+fn check() -> Command {
+    let file = Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .help("Settings of an entry or agent, or a patch");
+    Command::new("check")
+        .about("Prints every fault of a file with its path; exits with 2 if there is one")
+        .arg(file)
+        .after_help("Example: cowslipdeal check examples/patch.yaml")
+}
+
+fn publish() -> Command {
+    Command::new("publish")
+        .about("Publishes a patch against a configuration version and prints the outcome")
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Version that the patch was written against, if the file does not say"),
+        )
+        .arg(
+            Arg::new("id")
+                .long("id")
+                .value_name("UUID")
+                .value_parser(value_parser!(uuid::Uuid))
+                .help("Id of an earlier attempt whose outcome is unknown"),
+        )
+        .arg(address("log", "Address of the log service").default_value("127.0.0.1:9100"))
+        .arg(seconds(
+            "wait",
+            "Longest wait for the outcome, in seconds",
+            "10",
+        ))
+        .arg(
+            Arg::new("file")
+                .value_name("PATCH")
+                .required(true)
+                .help("Patch in YAML"),
+        )
+        .after_help(
+            "Example: cowslipdeal publish --base 0 --log 127.0.0.1:9100 examples/patch.yaml\n\
+             Exit codes: 0 accepted, 1 outcome unknown or log down, 2 faults, 3 stale base",
+        )
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Prints the state of an entry: configuration, endpoints, backlog")
+        .arg(address("entry", "HTTP address of the entry").default_value("127.0.0.1:8080"))
+        .after_help("Example: cowslipdeal status --entry 127.0.0.1:8080")
+}
+
+fn load() -> Command {
+    Command::new("load")
+        .about("Drives entries in front of stand-in engines with a described load and reports")
+        .arg(
+            address("entry", "HTTP address of an entry; may be repeated")
+                .action(ArgAction::Append)
+                .default_value("127.0.0.1:8080"),
+        )
+        .arg(number(
+            "adapters",
+            "Number of adapters, named adapter-000 and up",
+            "200",
+        ))
+        .arg(number("requests", "Number of requests", "600"))
+        .arg(fraction("rate", "Mean requests per second", "40"))
+        .arg(fraction(
+            "skew",
+            "Exponent of the Zipf distribution of popularity",
+            "1.1",
+        ))
+        .arg(fraction(
+            "long-share",
+            "Share of long requests, from 0 to 1",
+            "0.02",
+        ))
+        .arg(number(
+            "long-factor",
+            "Length of long requests relative to short ones",
+            "30",
+        ))
+        .arg(seconds(
+            "deadline",
+            "Deadline for the first token, in seconds",
+            "10",
+        ))
+        .arg(number(
+            "seed",
+            "Seed of arrivals, adapters and lengths",
+            "7",
+        ))
+        .arg(json_flag())
+        .after_help("Example: cowslipdeal load --entry 127.0.0.1:8080 --rate 40 --requests 600")
 }
 
 fn demo() -> Command {
@@ -37,9 +143,55 @@
         .after_help("Example: cowslipdeal demo --json")
 }
 
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(std::net::SocketAddr))
+        .help(help)
+}
+
+fn seconds(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("SECONDS")
+        .value_parser(value_parser!(u64).range(1..=3600))
+        .default_value(default)
+        .help(help)
+}
+
+fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .value_parser(value_parser!(u32).range(1..=10_000_000))
+        .default_value(default)
+        .help(help)
+}
+
+fn fraction(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NUMBER")
+        .value_parser(value_parser!(f64))
+        .default_value(default)
+        .help(help)
+}
+
 fn json_flag() -> Arg {
     Arg::new("json")
         .long("json")
         .action(ArgAction::SetTrue)
         .help("Prints the report as JSON")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against arguments that contradict each other, which clap reports only at run time.
+    #[test]
+    fn arguments_are_consistent() {
+        command().debug_assert();
+    }
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -109,6 +109,20 @@
         Ok((status, body.to_bytes()))
     }
 
+    /// Reads the state of an entry.
+    ///
+    /// # Errors
+    /// The message of the connection error, or the status of the answer.
+    pub async fn status(&self, entry: net::SocketAddr) -> Result<serde_json::Value, String> {
+        let request = Request::get(format!("http://{entry}/status")).body(Full::default());
+        let request = request.map_err(|error| error.to_string())?;
+        let (status, body) = self.call(request).await?;
+        if status != 200 {
+            return Err(format!("status {status}"));
+        }
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    }
+
     async fn read(
         &self,
         request: Request<Full<Bytes>>,
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -113,7 +113,7 @@
     fn plan(&self) -> load::LoadPlan {
         load::LoadPlan {
             entries: self.entries.iter().map(EntryServer::address).collect(),
-            models: (0..ADAPTERS).map(|n| format!("adapter-{n:03}@1")).collect(),
+            models: (0..ADAPTERS).map(load::adapter_name).collect(),
             requests: REQUESTS,
             rate: 40.0,
             skew: 1.1,
--- a/src/load.rs
+++ b/src/load.rs
@@ -98,6 +98,12 @@
     Ok(report)
 }
 
+/// Model name of the adapter with this popularity rank, from 0.
+#[must_use]
+pub fn adapter_name(rank: u32) -> String {
+    format!("adapter-{rank:03}@1")
+}
+
 fn schedule(plan: &LoadPlan) -> Result<Vec<PlannedRequest>, LoadError> {
     if plan.entries.is_empty() {
         return Err(LoadError::NoEntry);
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,14 +1,20 @@
 //! Work behind the subcommands.
 
-use std::{io, process};
+use std::{io, net, process, time};
 
 use agent::server::{AgentError, AgentServer};
 use clap::ArgMatches;
 use entry::server::{EntryError, EntryServer};
+use platform::publisher;
 use snafu::{ResultExt, Snafu};
 use tokio::{runtime, signal::unix};
 
-use crate::{demo, report, settings};
+use crate::{check, client, demo, load, publish, report, settings};
+
+/// Exit code for a file with faults.
+const FAULTS_EXIT: u8 = 2;
+/// Exit code for a patch against a stale version.
+const STALE_EXIT: u8 = 3;
 
 /// Reason why a subcommand failed.
 #[derive(Debug, Snafu)]
@@ -21,6 +27,17 @@
     Entry { source: EntryError },
     #[snafu(display("{source}"))]
     Demo { source: demo::DemoError },
+    #[snafu(display("{source}"))]
+    Check { source: check::CheckError },
+    #[snafu(display("{source}"))]
+    Publish { source: publish::PublishError },
+    #[snafu(display("{source}"))]
+    Load { source: load::LoadError },
+    #[snafu(display("no answer from {entry}: {message}; check the address of the entry"))]
+    Status {
+        entry: net::SocketAddr,
+        message: String,
+    },
     #[snafu(display("cannot start the runtime: {source}"))]
     Runtime { source: io::Error },
 }
@@ -32,17 +49,110 @@
 pub fn run(matches: &ArgMatches) -> Result<process::ExitCode, RunError> {
     let runtime = runtime::Runtime::new().context(RuntimeSnafu)?;
     match matches.subcommand() {
-        Some(("entry", arguments)) => runtime.block_on(run_entry(settings_path(arguments))),
-        Some(("agent", arguments)) => runtime.block_on(run_agent(settings_path(arguments))),
+        Some(("entry", arguments)) => runtime.block_on(run_entry(text(arguments, "settings"))),
+        Some(("agent", arguments)) => runtime.block_on(run_agent(text(arguments, "settings"))),
+        Some(("check", arguments)) => run_check(text(arguments, "file")),
+        Some(("publish", arguments)) => runtime.block_on(run_publish(arguments)),
+        Some(("status", arguments)) => runtime.block_on(run_status(arguments)),
+        Some(("load", arguments)) => runtime.block_on(run_load(arguments)),
         Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
         _ => Ok(process::ExitCode::from(2)),
     }
 }
 
-fn settings_path(arguments: &ArgMatches) -> &str {
+/// Value of a required text argument.
+fn text<'a>(arguments: &'a ArgMatches, name: &str) -> &'a str {
+    arguments.get_one::<String>(name).map_or("", String::as_str)
+}
+
+/// Value of an argument that has a default.
+fn value<T: Clone + Send + Sync + 'static>(arguments: &ArgMatches, name: &str) -> T {
     arguments
-        .get_one::<String>("settings")
-        .map_or("", String::as_str)
+        .get_one::<T>(name)
+        .cloned()
+        .expect("the argument has a default value")
+}
+
+fn run_check(path: &str) -> Result<process::ExitCode, RunError> {
+    let report = check::check_file(path).context(CheckSnafu)?;
+    if report.faults.is_empty() {
+        println!("{path}: no faults");
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    for fault in &report.faults {
+        println!("{path}: {fault}");
+    }
+    Ok(process::ExitCode::from(FAULTS_EXIT))
+}
+
+async fn run_publish(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    let order = publish::PublishOrder {
+        path: text(arguments, "file").to_owned(),
+        base: arguments.get_one("base").copied(),
+        id: arguments.get_one("id").copied(),
+        log: value(arguments, "log"),
+        limit: time::Duration::from_secs(value(arguments, "wait")),
+    };
+    let result = match publish::publish(&order).await {
+        Ok(result) => result,
+        Err(publish::PublishError::Patch { source }) => {
+            println!("{}: {source}", order.path);
+            return Ok(process::ExitCode::from(FAULTS_EXIT));
+        }
+        Err(error) => return Err(error).context(PublishSnafu),
+    };
+    let id = result.id;
+    match result.outcome {
+        publisher::PublishOutcome::Accepted { version } => {
+            println!("patch {id} accepted as configuration version {version}");
+            Ok(process::ExitCode::SUCCESS)
+        }
+        publisher::PublishOutcome::Refused { current } => {
+            println!(
+                "patch {id} refused: the current version is {current}; write the patch against it"
+            );
+            Ok(process::ExitCode::from(STALE_EXIT))
+        }
+        publisher::PublishOutcome::Invalid { faults } => {
+            print!("patch {id} does not fit the current configuration:\n{faults}");
+            Ok(process::ExitCode::from(FAULTS_EXIT))
+        }
+    }
+}
+
+async fn run_status(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    let entry: net::SocketAddr = value(arguments, "entry");
+    let status = client::LoadClient::new()
+        .status(entry)
+        .await
+        .map_err(|message| RunError::Status { entry, message })?;
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&status).unwrap_or_default()
+    );
+    Ok(process::ExitCode::SUCCESS)
+}
+
+async fn run_load(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    let entries = arguments.get_many("entry").unwrap_or_default();
+    let adapters: u32 = value(arguments, "adapters");
+    let plan = load::LoadPlan {
+        entries: entries.copied().collect(),
+        models: (0..adapters).map(load::adapter_name).collect(),
+        requests: value(arguments, "requests"),
+        rate: value(arguments, "rate"),
+        skew: value(arguments, "skew"),
+        long_share: value(arguments, "long-share"),
+        long_factor: value(arguments, "long-factor"),
+        deadline: time::Duration::from_secs(value(arguments, "deadline")),
+        seed: u64::from(value::<u32>(arguments, "seed")),
+    };
+    let total = plan.requests as usize;
+    let report = load::run(&plan, |finished| show_progress(finished, total))
+        .await
+        .context(LoadSnafu)?;
+    print_report(&report, arguments.get_flag("json"));
+    Ok(exit_code(report.is_clean()))
 }
 
 async fn run_entry(path: &str) -> Result<process::ExitCode, RunError> {
