Make the request table's cost independent of its size

Cause: insert and expiry moved or visited every retained request. Change: one sorted deque per entry incarnation, expiry in the order of the ends, state Failed, and a mark for running requests that were cancelled. The existing tests are unchanged.

--- a/crates/decisions/src/request_table.rs
+++ b/crates/decisions/src/request_table.rs
@@ -2,8 +2,12 @@
 //!
 //! The table admits a request id at most once. A cancel that arrives before the start leaves a
 //! tombstone, after which the request can never start; only then may a caller be told `not_run`.
+//!
+//! An entry numbers its requests in ascending order, so each entry has its own sorted deque: new
+//! requests are appended at the end and old ones leave near the front. One sorted vector of all
+//! requests would move up to 100,000 entries with every insert.
 
-use std::time;
+use std::{collections, time};
 
 use crate::{ids, units};
 
@@ -17,6 +21,8 @@
     Queued,
     Running,
     Finished,
+    /// Ended without a complete answer after it ran.
+    Failed,
     /// Tombstone: the request did not run and can never start.
     CancelledBeforeStart,
 }
@@ -25,21 +31,42 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CancelOutcome {
     NotRun,
+    /// The request runs; the caller of the table stops it at the engine.
     Running,
     Finished,
+    /// The request ran and failed.
+    Failed,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct TableEntry {
-    request: ids::RequestId,
+    sequence: u64,
     state: RequestState,
     changed: units::Timestamp,
+    is_cancelled: bool,
+}
+
+/// Requests of one entry incarnation, sorted by sequence.
+#[derive(Debug)]
+struct EntryRequests {
+    entry: ids::Incarnation,
+    requests: collections::VecDeque<TableEntry>,
 }
 
-/// Requests known to one agent incarnation, sorted by id.
+/// Requests known to one agent incarnation, sorted by entry incarnation.
 #[derive(Debug, Default)]
 pub struct RequestTable {
-    entries: Vec<TableEntry>,
+    entries: Vec<EntryRequests>,
+    /// In the order in which the requests ended.
+    ended: collections::VecDeque<ids::RequestId>,
+}
+
+impl RequestState {
+    /// Whether the request may still change its state.
+    #[must_use]
+    pub fn is_open(self) -> bool {
+        matches!(self, Self::Queued | Self::Running)
+    }
 }
 
 impl RequestTable {
@@ -52,97 +79,173 @@
         request: ids::RequestId,
         now: units::Timestamp,
     ) -> Result<(), RequestState> {
-        match self.position(request) {
-            Ok(position) => Err(self.entries[position].state),
-            Err(position) => {
-                self.insert(position, request, RequestState::Queued, now);
-                Ok(())
-            }
+        if let Some(entry) = self.find(request) {
+            return Err(entry.state);
         }
+        self.insert(request, RequestState::Queued, now);
+        Ok(())
     }
 
     /// Starts a queued request; false when it must not run.
+    #[must_use]
     pub fn start(&mut self, request: ids::RequestId, now: units::Timestamp) -> bool {
-        let Ok(position) = self.position(request) else {
-            return false;
-        };
-        let entry = &mut self.entries[position];
-        if entry.state != RequestState::Queued {
-            return false;
+        match self.find_mut(request) {
+            Some(entry) if entry.state == RequestState::Queued => {
+                entry.state = RequestState::Running;
+                entry.changed = now;
+                true
+            }
+            _ => false,
         }
-        entry.state = RequestState::Running;
-        entry.changed = now;
-        true
     }
 
     /// Marks a running request as finished.
     pub fn finish(&mut self, request: ids::RequestId, now: units::Timestamp) {
-        let Ok(position) = self.position(request) else {
-            return;
-        };
-        let entry = &mut self.entries[position];
-        if entry.state == RequestState::Running {
-            entry.state = RequestState::Finished;
-            entry.changed = now;
-        }
+        self.end(request, RequestState::Finished, now);
+    }
+
+    /// Marks a running request as failed.
+    pub fn fail(&mut self, request: ids::RequestId, now: units::Timestamp) {
+        self.end(request, RequestState::Failed, now);
     }
 
-    /// Cancels a request; one that has not started gets a tombstone.
+    /// Cancels a request; one that has not started gets a tombstone. One that runs is marked as
+    /// cancelled and keeps running until [`Self::finish`] or [`Self::fail`].
     pub fn cancel(&mut self, request: ids::RequestId, now: units::Timestamp) -> CancelOutcome {
-        let position = match self.position(request) {
-            Ok(position) => position,
-            Err(position) => {
-                let state = RequestState::CancelledBeforeStart;
-                self.insert(position, request, state, now);
-                return CancelOutcome::NotRun;
-            }
+        let Some(entry) = self.find_mut(request) else {
+            self.insert(request, RequestState::CancelledBeforeStart, now);
+            self.ended.push_back(request);
+            return CancelOutcome::NotRun;
         };
-        let entry = &mut self.entries[position];
         match entry.state {
             RequestState::Queued => {
                 entry.state = RequestState::CancelledBeforeStart;
                 entry.changed = now;
+                self.ended.push_back(request);
                 CancelOutcome::NotRun
             }
             RequestState::CancelledBeforeStart => CancelOutcome::NotRun,
-            RequestState::Running => CancelOutcome::Running,
+            RequestState::Running => {
+                entry.is_cancelled = true;
+                CancelOutcome::Running
+            }
             RequestState::Finished => CancelOutcome::Finished,
+            RequestState::Failed => CancelOutcome::Failed,
         }
     }
 
+    /// Whether a running request was cancelled and should be stopped at the engine.
+    #[must_use]
+    pub fn is_stopping(&self, request: ids::RequestId) -> bool {
+        self.find(request)
+            .is_some_and(|entry| entry.state == RequestState::Running && entry.is_cancelled)
+    }
+
     /// State of a request, if it is known.
     #[must_use]
     pub fn state(&self, request: ids::RequestId) -> Option<RequestState> {
-        let position = self.position(request).ok()?;
-        Some(self.entries[position].state)
+        self.find(request).map(|entry| entry.state)
+    }
+
+    /// Requests in the table.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.iter().map(|entry| entry.requests.len()).sum()
+    }
+
+    /// Whether the table is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
-    /// Drops tombstones and finished requests older than [`RETENTION`].
+    /// Drops requests that ended [`RETENTION`] ago or earlier. The cost depends on the number
+    /// dropped, not on the number kept.
     pub fn expire(&mut self, now: units::Timestamp) {
-        self.entries.retain(|entry| {
-            let is_open = matches!(entry.state, RequestState::Queued | RequestState::Running);
-            is_open || now.since(entry.changed) < RETENTION
-        });
+        while let Some(request) = self.ended.front().copied() {
+            let changed = self.find(request).map(|entry| entry.changed);
+            if changed.is_some_and(|changed| now.since(changed) < RETENTION) {
+                return;
+            }
+            self.ended.pop_front();
+            self.remove(request);
+        }
+    }
+
+    fn end(&mut self, request: ids::RequestId, state: RequestState, now: units::Timestamp) {
+        let Some(entry) = self.find_mut(request) else {
+            return;
+        };
+        if entry.state != RequestState::Running {
+            return;
+        }
+        entry.state = state;
+        entry.changed = now;
+        self.ended.push_back(request);
     }
 
-    fn position(&self, request: ids::RequestId) -> Result<usize, usize> {
+    fn position(&self, entry: ids::Incarnation) -> Result<usize, usize> {
         self.entries
-            .binary_search_by_key(&request, |entry| entry.request)
+            .binary_search_by_key(&entry, |requests| requests.entry)
     }
 
-    fn insert(
-        &mut self,
-        position: usize,
-        request: ids::RequestId,
-        state: RequestState,
-        changed: units::Timestamp,
-    ) {
-        let entry = TableEntry {
-            request,
-            state,
-            changed,
+    fn find(&self, request: ids::RequestId) -> Option<&TableEntry> {
+        let position = self.position(request.entry).ok()?;
+        self.entries[position].find(request.sequence)
+    }
+
+    fn find_mut(&mut self, request: ids::RequestId) -> Option<&mut TableEntry> {
+        let position = self.position(request.entry).ok()?;
+        let requests = &mut self.entries[position];
+        let index = requests.position(request.sequence).ok()?;
+        requests.requests.get_mut(index)
+    }
+
+    fn insert(&mut self, request: ids::RequestId, state: RequestState, changed: units::Timestamp) {
+        let found = self.position(request.entry);
+        let position = found.unwrap_or_else(|position| {
+            let requests = EntryRequests {
+                entry: request.entry,
+                requests: collections::VecDeque::new(),
+            };
+            self.entries.insert(position, requests);
+            position
+        });
+        let requests = &mut self.entries[position];
+        if let Err(index) = requests.position(request.sequence) {
+            let entry = TableEntry {
+                sequence: request.sequence,
+                state,
+                changed,
+                is_cancelled: false,
+            };
+            requests.requests.insert(index, entry);
+        }
+    }
+
+    fn remove(&mut self, request: ids::RequestId) {
+        let Ok(position) = self.position(request.entry) else {
+            return;
         };
-        self.entries.insert(position, entry);
+        let requests = &mut self.entries[position];
+        if let Ok(index) = requests.position(request.sequence) {
+            requests.requests.remove(index);
+        }
+        if requests.requests.is_empty() {
+            self.entries.remove(position);
+        }
+    }
+}
+
+impl EntryRequests {
+    fn position(&self, sequence: u64) -> Result<usize, usize> {
+        self.requests
+            .binary_search_by_key(&sequence, |entry| entry.sequence)
+    }
+
+    fn find(&self, sequence: u64) -> Option<&TableEntry> {
+        let index = self.position(sequence).ok()?;
+        self.requests.get(index)
     }
 }
 
