--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod admission;
 pub mod backlog;
 pub mod candidates;
+pub mod claim_attempt;
+pub mod claim_batch;
+pub mod claims;
 pub mod endpoint_state;
 pub mod endpoint_table;
 pub mod eviction;
