--- a/crates/callers/src/error.rs
+++ b/crates/callers/src/error.rs
@@ -35,6 +35,7 @@
     OutcomeUnknown,
     Overloaded,
     UnknownModel,
+    UnknownRoute,
     UnknownService,
     WrongAdapter,
 }
@@ -89,7 +90,7 @@
     pub fn status(&self) -> u16 {
         match self.code {
             ErrorCode::InvalidRequest => 400,
-            ErrorCode::UnknownModel | ErrorCode::UnknownService => 404,
+            ErrorCode::UnknownModel | ErrorCode::UnknownRoute | ErrorCode::UnknownService => 404,
             ErrorCode::KeyReused => 422,
             ErrorCode::BodyTooLarge => 413,
             ErrorCode::DeadlineUnreachable | ErrorCode::Overloaded => 429,
--- a/crates/callers/src/headers.rs
+++ b/crates/callers/src/headers.rs
@@ -71,3 +71,29 @@
 fn invalid(message: &str) -> error::CallerError {
     error::CallerError::not_run(error::ErrorCode::InvalidRequest, message)
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        // Guards against header bytes of a hostile caller that cause a panic or pass unchecked.
+        #[test]
+        fn any_header_is_read_or_refused(value in proptest::collection::vec(any::<u8>(), 0..300)) {
+            for name in [DEADLINE_HEADER, PRIORITY_HEADER, IDEMPOTENCY_HEADER] {
+                let Ok(value) = http::HeaderValue::from_bytes(&value) else { continue };
+                let mut headers = HeaderMap::new();
+                headers.insert(name, value);
+                match read_options(&headers) {
+                    Ok(options) => {
+                        let key = options.idempotency_key.unwrap_or("key".into());
+                        prop_assert!((1..=MAX_KEY_BYTES).contains(&key.len()));
+                    }
+                    Err(error) => prop_assert_eq!(error.code, error::ErrorCode::InvalidRequest),
+                }
+            }
+        }
+    }
+}
--- a/crates/callers/src/render.rs
+++ b/crates/callers/src/render.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{Stream, StreamExt, stream};
 use serde::Serialize;
 
 use crate::{
@@ -12,6 +12,8 @@
     handler::{self, AnswerPart},
 };
 
+const KEEP_ALIVE_COMMENT: &[u8] = b": keep-alive\n\n";
+
 /// Renders the parts of one completion.
 pub struct CompletionRenderer {
     kind: CompletionKind,
@@ -166,6 +168,20 @@
     }
 }
 
+/// Adds a comment after each `interval` in which the stream sends nothing, so that proxies do not
+/// close it.
+pub fn keep_alive<S>(events: S, interval: time::Duration) -> impl Stream<Item = Bytes> + Send
+where
+    S: Stream<Item = Bytes> + Send + Unpin,
+{
+    stream::unfold(events, move |mut events| async move {
+        match tokio::time::timeout(interval, events.next()).await {
+            Ok(event) => Some((event?, events)),
+            Err(_) => Some((Bytes::from_static(KEEP_ALIVE_COMMENT), events)),
+        }
+    })
+}
+
 /// Collects the whole answer of a service.
 ///
 /// # Errors
@@ -219,3 +235,22 @@
         retry_after: None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against proxies that close a stream whose next token takes long, and against an event
+    // that is lost when the comment is sent.
+    #[tokio::test(start_paused = true)]
+    async fn silent_stream_sends_comments_and_then_the_event() {
+        let second = time::Duration::from_secs(1);
+        let event = Box::pin(stream::once(async move {
+            tokio::time::sleep(second * 5 / 2).await;
+            Bytes::from_static(b"data: x\n\n")
+        }));
+        let sent: Vec<_> = keep_alive(event, second).collect().await;
+        assert_eq!(sent[..2], [KEEP_ALIVE_COMMENT, KEEP_ALIVE_COMMENT]);
+        assert_eq!(sent[2..], ["data: x\n\n"]);
+    }
+}
--- a/crates/callers/src/routes.rs
+++ b/crates/callers/src/routes.rs
@@ -1,6 +1,6 @@
 //! HTTP routes served with `xitca-web`.
 
-use std::{convert::Infallible, io, net, sync::Arc, thread};
+use std::{convert::Infallible, io, net, sync::Arc, thread, time};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -17,6 +17,10 @@
 
 /// Largest request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
+/// Longest part of an unknown path that is repeated to the caller, in characters.
+const MAX_SHOWN_PATH: usize = 200;
+/// Silence of a stream after which a comment is sent, below the idle limit of common proxies.
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(10);
 const SERVICE_PREFIX: &str = "/services/";
 
 type SharedHandler = Arc<dyn handler::RequestHandler>;
@@ -44,7 +48,8 @@
             .with_state(handler)
             .at("/v1/completions", route::post(handler_service(complete)))
             .at("/v1/chat/completions", route::post(handler_service(chat)))
-            .at("/services/*path", handler_service(call_service))
+            .at("/services/{*path}", handler_service(call_service))
+            .at("/{*path}", handler_service(unknown_path))
             .at("/healthz", route::get(handler_service(health)))
             .at("/readyz", route::get(handler_service(ready)))
             .at("/metrics", route::get(handler_service(metrics)))
@@ -160,6 +165,21 @@
     response
 }
 
+async fn unknown_path(context: &WebContext<'_, SharedHandler>) -> WebResponse {
+    let path: String = context
+        .req()
+        .uri()
+        .path()
+        .chars()
+        .take(MAX_SHOWN_PATH)
+        .collect();
+    let message = format!("no route `{path}`; see the README for the routes");
+    error_response(&error::CallerError::not_run(
+        error::ErrorCode::UnknownRoute,
+        message,
+    ))
+}
+
 async fn health(_: &WebContext<'_, SharedHandler>) -> WebResponse {
     text_response(StatusCode::OK, "alive\n".into())
 }
@@ -197,7 +217,8 @@
     renderer: render::CompletionRenderer,
     parts: handler::AnswerStream,
 ) -> WebResponse {
-    let events = parts.map(move |part| Ok::<_, Infallible>(renderer.event(&part)));
+    let events = render::keep_alive(parts.map(move |part| renderer.event(&part)), KEEP_ALIVE);
+    let events = events.map(Ok::<_, Infallible>);
     let body = BoxBody::new(StreamDataBody::new(events));
     let mut response = WebResponse::new(ResponseBody::boxed(body));
     let headers = response.headers_mut();
--- /dev/null
+++ b/crates/entry/src/admissions.rs
@@ -0,0 +1,167 @@
+//! Admission and backlog of an entry.
+
+use std::{sync::Arc, time};
+
+use callers::error::{CallerError, ErrorCode};
+use decisions::{admission, backlog, ids, routing, units};
+use parking_lot::Mutex;
+use serde::Serialize;
+
+use crate::{clock, plans};
+
+/// Adapters with the largest backlog that `status` and the metrics name.
+const TOP_ADAPTERS: usize = 5;
+
+/// Admission of requests and those that wait for their first token.
+pub struct AdmissionDesk {
+    clock: clock::EntryClock,
+    control: Mutex<admission::AdmissionControl>,
+    backlog: Mutex<backlog::BacklogTable>,
+}
+
+/// Request in the backlog; it leaves when this is dropped.
+pub struct WaitingEntry {
+    desk: Arc<AdmissionDesk>,
+    request: ids::RequestId,
+    priority: units::Priority,
+    received: units::Timestamp,
+    predicted_wait: time::Duration,
+}
+
+/// Backlog of one priority or adapter.
+#[derive(Clone, Debug, Serialize)]
+pub struct BacklogStatus {
+    /// Priority, or hash of the adapter version.
+    pub name: String,
+    pub waiting: u32,
+    pub at_risk: u32,
+    pub late: u32,
+    pub predicted_wait_ms: u128,
+    /// Least time between a predicted first token and its deadline.
+    pub least_slack_ms: Option<u128>,
+}
+
+/// Backlog of an entry.
+#[derive(Clone, Debug, Serialize)]
+pub struct BacklogReport {
+    pub priorities: Vec<BacklogStatus>,
+    pub top_adapters: Vec<BacklogStatus>,
+}
+
+impl AdmissionDesk {
+    /// Creates a desk without requests.
+    #[must_use]
+    pub fn new(clock: clock::EntryClock) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            control: Mutex::new(admission::AdmissionControl::new(now)),
+            backlog: Mutex::default(),
+        }
+    }
+
+    /// Admits a request that can be served on time by the chosen endpoint.
+    ///
+    /// # Errors
+    /// [`CallerError`] with the time after which a repetition may succeed.
+    pub fn admit(
+        &self,
+        plan: &plans::RequestPlan,
+        choice: &routing::Choice,
+    ) -> Result<(), CallerError> {
+        let request = admission::AdmissionRequest {
+            priority: plan.priority,
+            time_left: plan.time_left(),
+            wait: choice.wait,
+            first_token: choice.first_token,
+        };
+        let now = self.clock.now();
+        let admitted = self.control.lock().admit(&request, &mut rand::rng(), now);
+        admitted.map_err(|refusal| {
+            let code = match refusal.reason {
+                admission::AdmissionReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
+                admission::AdmissionReason::KeptForHigherPriority => ErrorCode::Overloaded,
+            };
+            CallerError::not_run(code, refusal.to_string()).retry_after(refusal.retry_after)
+        })
+    }
+
+    /// Adds a dispatched request to the backlog.
+    #[must_use]
+    pub fn wait(
+        self: &Arc<Self>,
+        plan: &plans::RequestPlan,
+        request: ids::RequestId,
+        adapter: ids::AdapterId,
+        choice: &routing::Choice,
+    ) -> WaitingEntry {
+        let now = self.clock.now();
+        self.backlog.lock().wait(backlog::WaitingRequest {
+            request,
+            priority: plan.priority,
+            adapter,
+            received: now,
+            deadline: now + plan.time_left(),
+            expected: now + choice.first_token,
+        });
+        WaitingEntry {
+            desk: Arc::clone(self),
+            request,
+            priority: plan.priority,
+            received: now,
+            predicted_wait: choice.wait,
+        }
+    }
+
+    /// Backlog at the current time.
+    #[must_use]
+    pub fn report(&self) -> BacklogReport {
+        let now = self.clock.now();
+        let backlog = self.backlog.lock();
+        let priorities = backlog.priorities(now);
+        let adapters = backlog.top_adapters(TOP_ADAPTERS, now);
+        drop(backlog);
+        let priorities = priorities.iter().map(|entry| {
+            let name = format!("{:?}", entry.priority).to_lowercase();
+            status(name, &entry.total)
+        });
+        let adapters = adapters
+            .iter()
+            .map(|entry| status(format!("{:016x}", entry.adapter.0), &entry.total));
+        BacklogReport {
+            priorities: priorities.collect(),
+            top_adapters: adapters.collect(),
+        }
+    }
+}
+
+impl WaitingEntry {
+    /// Records the first token, for later admissions.
+    pub fn answered(self, is_on_time: bool) {
+        let now = self.desk.clock.now();
+        let outcome = admission::AdmissionOutcome {
+            priority: self.priority,
+            predicted_wait: self.predicted_wait,
+            wait: now.since(self.received),
+            on_time: is_on_time,
+        };
+        self.desk.control.lock().observe(&outcome, now);
+    }
+}
+
+impl Drop for WaitingEntry {
+    fn drop(&mut self) {
+        self.desk.backlog.lock().stop(self.request);
+    }
+}
+
+fn status(name: String, total: &backlog::BacklogTotal) -> BacklogStatus {
+    BacklogStatus {
+        name,
+        waiting: total.waiting,
+        at_risk: total.at_risk,
+        late: total.late,
+        predicted_wait_ms: total.predicted_wait.as_millis(),
+        least_slack_ms: total.least_slack.map(|slack| slack.as_millis()),
+    }
+}
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -1,16 +1,26 @@
 //! Agents known to an entry, and the choice among their endpoints.
 
-use std::{net, sync::Arc, time};
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
+};
 
-use decisions::{ids, routing, units};
+use decisions::{ids, membership, routing, units};
+use futures::future;
+use operators::snapshot;
 use parking_lot::Mutex;
-use peers::message;
+use peers::{message, service};
 use serde::Serialize;
 
 use crate::{clock, metrics, sessions};
 
 /// Delay assumed to agents of the same data centre and of others.
 const NEAR_DELAY: time::Duration = time::Duration::from_micros(100);
+const IMAGE_LIMIT: time::Duration = time::Duration::from_secs(2);
 const FAR_DELAY: time::Duration = time::Duration::from_micros(750);
 
 /// Directory of the agent incarnations that answered `hello`.
@@ -21,6 +31,8 @@
     /// Sorted by incarnation.
     agents: Mutex<Vec<KnownAgent>>,
     routing: Mutex<Box<dyn routing::RoutingPolicy>>,
+    members: Mutex<membership::MembershipTable>,
+    version: AtomicU64,
 }
 
 struct KnownAgent {
@@ -63,6 +75,8 @@
             metrics,
             agents: Mutex::default(),
             routing: Mutex::new(routing),
+            members: Mutex::default(),
+            version: AtomicU64::new(0),
         }
     }
 
@@ -74,12 +88,73 @@
         &self,
         request: &routing::RoutingRequest<'_>,
     ) -> Result<ChosenEndpoint, routing::Refusal> {
-        let choice = self.routing.lock().choose(request, self.clock.now())?;
+        let now = self.clock.now();
+        let mut exclude = request.exclude.to_vec();
+        // Each round excludes one more endpoint that the policy does not know to be leaving yet.
+        loop {
+            let wanted = routing::RoutingRequest {
+                exclude: &exclude,
+                ..*request
+            };
+            let choice = self.routing.lock().choose(&wanted, now)?;
+            let agent = choice.endpoint.agent;
+            let channel = self.channel(agent);
+            let channel = channel.filter(|channel| self.takes_work(channel.address(), agent));
+            if let Some(channel) = channel {
+                return Ok(ChosenEndpoint { choice, channel });
+            }
+            exclude.push(choice.endpoint);
+        }
+    }
+
+    /// Takes over the instance list and returns the changes.
+    pub fn listed(&self, list: &[membership::ListedInstance]) -> Vec<membership::MemberChange> {
+        let now = self.clock.now();
+        let mut members = self.members.lock();
+        members.listed(list, now);
+        members.changes(now)
+    }
+
+    /// Newest configuration image of the connected agents.
+    pub async fn image(&self, known_version: u64) -> Option<snapshot::ImageParts> {
+        let channels: Vec<_> = {
+            let agents = self.agents.lock();
+            let channels = agents.iter().map(|known| Arc::clone(&known.channel));
+            channels.collect()
+        };
+        let calls = channels.iter().filter_map(|channel| {
+            let client = channel.connection()?.client;
+            Some(async move {
+                let call = service::deadline(IMAGE_LIMIT);
+                client.configuration(call, known_version).await.ok()?
+            })
+        });
+        let images = future::join_all(calls).await;
+        let newest = images
+            .into_iter()
+            .flatten()
+            .max_by_key(|image| image.version)?;
+        Some(snapshot::ImageParts {
+            version: newest.version,
+            as_of: newest.as_of,
+            state: newest.state,
+        })
+    }
+
+    /// Records the configuration version, which polls tell the agents.
+    pub fn set_version(&self, version: u64) {
+        self.version.store(version, Ordering::Relaxed);
+    }
+
+    fn channel(&self, agent: ids::Incarnation) -> Option<Arc<sessions::AgentChannel>> {
         let agents = self.agents.lock();
-        let position = position(&agents, choice.endpoint.agent);
-        let position = position.map_err(|_| routing::Refusal::NoneReady)?;
-        let channel = Arc::clone(&agents[position].channel);
-        Ok(ChosenEndpoint { choice, channel })
+        let position = position(&agents, agent).ok()?;
+        Some(Arc::clone(&agents[position].channel))
+    }
+
+    fn takes_work(&self, address: net::SocketAddr, agent: ids::Incarnation) -> bool {
+        let now = self.clock.now();
+        self.members.lock().takes_work(address, agent, now)
     }
 
     /// Channel of a connected agent that offers a plain service.
@@ -94,6 +169,7 @@
             known.is_connected
                 && !known.report.leaving
                 && !exclude.contains(&known.agent)
+                && self.takes_work(known.channel.address(), known.agent)
                 && known.report.services.iter().any(|name| name == service)
         });
         let known = offering.next()?;
@@ -111,7 +187,7 @@
     pub fn is_ready(&self) -> bool {
         let agents = self.agents.lock();
         let mut agents = agents.iter();
-        agents.any(|known| known.is_connected && !known.report.leaving)
+        agents.any(|known| self.takes_work(known.channel.address(), known.agent))
     }
 
     /// State of all agents.
@@ -156,6 +232,10 @@
             Err(position) => agents.insert(position, known),
         }
         drop(agents);
+        let now = self.clock.now();
+        self.members
+            .lock()
+            .greeted(channel.address(), welcome.agent, now);
         self.metrics.sessions(1);
         let distance = if welcome.data_centre == self.data_centre {
             NEAR_DELAY
@@ -172,7 +252,7 @@
 
     fn reported(
         &self,
-        _address: net::SocketAddr,
+        address: net::SocketAddr,
         agent: ids::Incarnation,
         report: &message::LoadReport,
     ) {
@@ -181,6 +261,10 @@
             agents[position].report = report.clone();
         }
         drop(agents);
+        if report.leaving {
+            let now = self.clock.now();
+            self.members.lock().reported_leaving(address, agent, now);
+        }
         self.report(agent, report, true);
     }
 
@@ -194,6 +278,7 @@
             }
         }
         drop(agents);
+        self.members.lock().disconnected(address, self.clock.now());
         for (agent, report) in lost {
             self.metrics.sessions(-1);
             self.report(agent, &report, false);
@@ -214,7 +299,7 @@
     }
 
     fn configuration_version(&self) -> u64 {
-        0
+        self.version.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicU64, Ordering},
 };
 
 use callers::{
@@ -13,20 +13,15 @@
     error::{CallerError, ErrorCode},
     handler::{self, AnswerPart},
 };
-use decisions::{ids, routing};
+use decisions::{ids, retries, routing, units};
 use futures::{StreamExt, future, stream};
 use parking_lot::Mutex;
 use peers::message;
-use tokio::{runtime, sync};
+use tokio::runtime;
 
-use crate::{attempts, directory, failures, metrics, plans, settings};
-
-/// Attempts at one request, the first included.
-const MAX_ATTEMPTS: usize = 3;
-/// Share of the requests that may be sent again, so that retries cannot multiply an overload.
-const RETRY_SHARE: f64 = 0.1;
-/// Retries that may be saved up while none are needed.
-const RETRY_RESERVE: f64 = 20.0;
+use crate::{
+    admissions, attempts, configuration, directory, drain, failures, metrics, plans, settings,
+};
 
 /// Dispatcher of one entry.
 pub struct RequestDispatcher {
@@ -34,21 +29,12 @@
     incarnation: ids::Incarnation,
     sequence: AtomicU64,
     context: attempts::AttemptContext,
-    retry_credit: Mutex<f64>,
-    drain: Arc<DrainState>,
+    retries: Mutex<retries::RetryPolicy>,
+    configuration: Arc<configuration::ConfigurationView>,
+    drain: Arc<drain::DrainState>,
+    desk: Arc<admissions::AdmissionDesk>,
 }
 
-/// Requests in progress, and whether new ones are refused.
-#[derive(Default)]
-pub struct DrainState {
-    is_draining: AtomicBool,
-    open: AtomicUsize,
-    idle: sync::Notify,
-}
-
-/// Counts one request as open until it is dropped.
-struct OpenRequest(Arc<DrainState>);
-
 /// Attempt whose first part has arrived.
 struct StartedAnswer {
     attempt: attempts::OpenAttempt,
@@ -57,9 +43,8 @@
 
 /// Why an attempt is followed by another one.
 struct Setback {
-    reason: metrics::RetryReason,
-    /// Whether the attempt is known not to have run.
-    is_not_run: bool,
+    reason: retries::RetryReason,
+    knowledge: retries::RunKnowledge,
     error: CallerError,
 }
 
@@ -71,6 +56,8 @@
         incarnation: ids::Incarnation,
         directory: Arc<directory::AgentDirectory>,
         metrics: Arc<metrics::EntryMetrics>,
+        configuration: Arc<configuration::ConfigurationView>,
+        desk: Arc<admissions::AdmissionDesk>,
         runtime: runtime::Handle,
     ) -> Self {
         Self {
@@ -82,14 +69,16 @@
                 metrics,
                 runtime,
             },
-            retry_credit: Mutex::new(RETRY_RESERVE),
+            retries: Mutex::new(retries::RetryPolicy::new(units::Timestamp(0))),
+            configuration,
             drain: Arc::default(),
+            desk,
         }
     }
 
     /// State that a shutdown waits for.
     #[must_use]
-    pub fn drain(&self) -> Arc<DrainState> {
+    pub fn drain(&self) -> Arc<drain::DrainState> {
         Arc::clone(&self.drain)
     }
 
@@ -99,7 +88,7 @@
     ) -> Result<handler::AnswerStream, CallerError> {
         let open = self.drain.enter()?;
         refuse_key(&request.options)?;
-        let plan = plans::RequestPlan::completion(&self.settings, request)?;
+        let plan = plans::RequestPlan::completion(&self.settings, &self.configuration, request)?;
         let answer = self.run(&plan).await?;
         Ok(self.relay(answer, open))
     }
@@ -110,7 +99,7 @@
     ) -> Result<handler::AnswerStream, CallerError> {
         let open = self.drain.enter()?;
         refuse_key(&call.options)?;
-        let plan = plans::RequestPlan::service(&self.settings, call);
+        let plan = plans::RequestPlan::service(&self.settings, &self.configuration, call)?;
         let answer = self.run(&plan).await?;
         Ok(self.relay(answer, open))
     }
@@ -118,22 +107,28 @@
     /// Makes attempts until one has a first part.
     async fn run(&self, plan: &plans::RequestPlan) -> Result<StartedAnswer, CallerError> {
         self.context.metrics.requested();
-        self.earn_retry();
+        self.retries.lock().first_attempt();
         let mut tried = Vec::new();
         let mut last: Option<Setback> = None;
         loop {
-            let target = match self.choose(plan, &tried) {
-                Ok(target) => target,
+            let (target, waiting) = match self.choose(plan, &tried) {
+                Ok(chosen) => chosen,
                 Err(error) => return Err(last.map_or(error, |setback| setback.error)),
             };
             tried.push(target.endpoint);
-            let setback = match self.attempt(plan, target).await {
+            let setback = match self.attempt(plan, target, waiting).await {
                 Ok(answer) => return Ok(answer),
                 Err(setback) => setback,
             };
-            let may_repeat = setback.is_not_run || plan.repeatable;
-            let is_last = tried.len() >= MAX_ATTEMPTS || plan.time_left().is_zero();
-            if !may_repeat || is_last || !self.spend_retry() {
+            let failed = retries::FailedAttempt {
+                reason: setback.reason,
+                knowledge: setback.knowledge,
+                repeatable: plan.repeatable,
+                answer_started: false,
+                attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+                time_left: plan.time_left(),
+            };
+            if self.retries.lock().retry(&failed).is_err() {
                 return Err(setback.error);
             }
             self.context.metrics.retried(setback.reason);
@@ -145,31 +140,31 @@
         &self,
         plan: &plans::RequestPlan,
         target: attempts::AttemptTarget,
+        waiting: Option<admissions::WaitingEntry>,
     ) -> Result<StartedAnswer, Setback> {
         match attempts::dispatch(&self.context, target, plan).await {
             attempts::DispatchEnd::Open(mut attempt) => {
                 let first = attempt.next().await;
                 if let message::StreamPart::Failed(failure) = &first {
                     return Err(Setback {
-                        reason: metrics::RetryReason::Failed,
-                        is_not_run: failure.outcome == message::RunOutcome::NotRun,
+                        reason: retries::RetryReason::EndpointFailed,
+                        knowledge: failures::knowledge(failure),
                         error: failures::stream_error(failure),
                     });
                 }
+                if let Some(waiting) = waiting {
+                    waiting.answered(!plan.time_left().is_zero());
+                }
                 Ok(StartedAnswer { attempt, first })
             }
             attempts::DispatchEnd::NotRun(reason) => Err(Setback {
-                reason: match reason {
-                    attempts::NotRunReason::Refused { .. } => metrics::RetryReason::Refused,
-                    attempts::NotRunReason::Unconnected => metrics::RetryReason::Unconnected,
-                    attempts::NotRunReason::Tombstone => metrics::RetryReason::Tombstone,
-                },
-                is_not_run: true,
+                reason: failures::retry_reason(reason),
+                knowledge: retries::RunKnowledge::NotRun,
                 error: failures::not_run(reason),
             }),
             attempts::DispatchEnd::Unknown => Err(Setback {
-                reason: metrics::RetryReason::Failed,
-                is_not_run: false,
+                reason: retries::RetryReason::EndpointLost,
+                knowledge: retries::RunKnowledge::Unknown,
                 error: failures::unknown(),
             }),
         }
@@ -179,7 +174,7 @@
         &self,
         plan: &plans::RequestPlan,
         tried: &[ids::EndpointId],
-    ) -> Result<attempts::AttemptTarget, CallerError> {
+    ) -> Result<(attempts::AttemptTarget, Option<admissions::WaitingEntry>), CallerError> {
         let directory = &self.context.directory;
         let request = self.next_request();
         match &plan.target {
@@ -195,18 +190,19 @@
                 };
                 let chosen = directory.choose(&wanted).map_err(failures::refused)?;
                 let choice = chosen.choice;
-                let left = plan.time_left();
-                if choice.wait > left {
-                    return Err(failures::too_late(choice.wait, left));
+                if tried.is_empty() {
+                    self.desk.admit(plan, &choice)?;
                 }
+                let waiting = self.desk.wait(plan, request, *adapter, &choice);
                 directory.observe(|routing, now| {
                     routing.dispatched(request, *adapter, &choice, now);
                 });
-                Ok(attempts::AttemptTarget {
+                let target = attempts::AttemptTarget {
                     request,
                     endpoint: choice.endpoint,
                     channel: chosen.channel,
-                })
+                };
+                Ok((target, Some(waiting)))
             }
             plans::PlanTarget::Service(service) => {
                 let exclude: Vec<_> = tried.iter().map(|endpoint| endpoint.agent).collect();
@@ -215,16 +211,17 @@
                     return Err(CallerError::not_run(ErrorCode::UnknownService, message));
                 };
                 let endpoint = ids::EndpointId { agent, replica: 0 };
-                Ok(attempts::AttemptTarget {
+                let target = attempts::AttemptTarget {
                     request,
                     endpoint,
                     channel,
-                })
+                };
+                Ok((target, None))
             }
         }
     }
 
-    fn relay(&self, answer: StartedAnswer, open: OpenRequest) -> handler::AnswerStream {
+    fn relay(&self, answer: StartedAnswer, open: drain::OpenRequest) -> handler::AnswerStream {
         let metrics = Arc::clone(&self.context.metrics);
         let state = Some((Some(answer.first), answer.attempt, open));
         stream::unfold(state, move |state| {
@@ -255,20 +252,6 @@
         }
     }
 
-    fn earn_retry(&self) {
-        let mut credit = self.retry_credit.lock();
-        *credit = (*credit + RETRY_SHARE).min(RETRY_RESERVE);
-    }
-
-    fn spend_retry(&self) -> bool {
-        let mut credit = self.retry_credit.lock();
-        let is_affordable = *credit >= 1.0;
-        if is_affordable {
-            *credit -= 1.0;
-        }
-        is_affordable
-    }
-
     fn count_refusal<T>(&self, answer: Result<T, CallerError>) -> Result<T, CallerError> {
         if let Err(error) = &answer {
             self.context.metrics.refused(error);
@@ -293,10 +276,13 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.drain.is_draining() && self.context.directory.is_ready()
+        !self.drain.is_draining()
+            && self.configuration.is_ready()
+            && self.context.directory.is_ready()
     }
 
     fn metrics(&self) -> String {
+        self.context.metrics.backlog(&self.desk.report());
         self.context.metrics.render()
     }
 
@@ -304,61 +290,15 @@
         serde_json::json!({
             "entry": self.incarnation.to_string(),
             "data_centre": self.settings.data_centre,
+            "configuration_version": self.configuration.version(),
             "draining": self.drain.is_draining(),
             "open_requests": self.drain.open(),
+            "backlog": self.desk.report(),
             "agents": self.context.directory.status(),
         })
     }
 }
 
-impl DrainState {
-    /// Refuses new requests from now on.
-    pub fn start(&self) {
-        self.is_draining.store(true, Ordering::SeqCst);
-    }
-
-    /// Whether new requests are refused.
-    #[must_use]
-    pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::SeqCst)
-    }
-
-    /// Number of open requests.
-    #[must_use]
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
-    }
-
-    /// Waits until no request is open.
-    pub async fn wait_idle(&self) {
-        loop {
-            let idle = self.idle.notified();
-            if self.open() == 0 {
-                return;
-            }
-            idle.await;
-        }
-    }
-
-    fn enter(self: &Arc<Self>) -> Result<OpenRequest, CallerError> {
-        // Counted before the check, so that a drain that starts in between sees the request.
-        self.open.fetch_add(1, Ordering::SeqCst);
-        let open = OpenRequest(Arc::clone(self));
-        if self.is_draining() {
-            return Err(failures::draining());
-        }
-        Ok(open)
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        if self.0.open.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.0.idle.notify_waiters();
-        }
-    }
-}
-
 /// Refuses a key, because claims in the log are not available to this entry.
 fn refuse_key(options: &handler::RequestOptions) -> Result<(), CallerError> {
     if options.idempotency_key.is_none() {
--- a/crates/entry/src/failures.rs
+++ b/crates/entry/src/failures.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use callers::error::{CallerError, ErrorCode, RequestOutcome};
-use decisions::routing;
+use decisions::{retries, routing};
 use peers::message;
 
 use crate::attempts;
@@ -75,18 +75,6 @@
     CallerError::not_run(ErrorCode::NoEndpoint, message).retry_after(RETRY_DELAY)
 }
 
-/// Error for a request that would be answered too late.
-#[must_use]
-pub fn too_late(wait: time::Duration, left: time::Duration) -> CallerError {
-    let message = format!(
-        "the first token is expected in {} ms and due in {} ms; send the request again later or with a later deadline",
-        wait.as_millis(),
-        left.as_millis()
-    );
-    let delay = wait.saturating_sub(left).max(RETRY_DELAY);
-    CallerError::not_run(ErrorCode::DeadlineUnreachable, message).retry_after(delay)
-}
-
 /// Error for a request that arrives while the entry drains.
 #[must_use]
 pub fn draining() -> CallerError {
@@ -94,6 +82,42 @@
     CallerError::not_run(ErrorCode::Draining, message).retry_after(time::Duration::ZERO)
 }
 
+/// Why a request that did not run may be sent again.
+#[must_use]
+pub fn retry_reason(reason: attempts::NotRunReason) -> retries::RetryReason {
+    let attempts::NotRunReason::Refused { reason, .. } = reason else {
+        return match reason {
+            attempts::NotRunReason::Unconnected => retries::RetryReason::ConnectFailed,
+            _ => retries::RetryReason::EndpointLost,
+        };
+    };
+    match reason {
+        message::RefusalReason::AdapterUnavailable => retries::RetryReason::AdapterUnavailable,
+        message::RefusalReason::Draining | message::RefusalReason::Superseded => {
+            retries::RetryReason::Leaving
+        }
+        message::RefusalReason::DeadlineUnreachable | message::RefusalReason::QueueFull => {
+            retries::RetryReason::Overloaded
+        }
+        message::RefusalReason::SessionClosed | message::RefusalReason::WrongIncarnation => {
+            retries::RetryReason::SessionClosed
+        }
+        message::RefusalReason::Cancelled
+        | message::RefusalReason::UnknownService
+        | message::RefusalReason::WrongBaseModel => retries::RetryReason::EndpointFailed,
+    }
+}
+
+/// What a failed stream says of the run.
+#[must_use]
+pub fn knowledge(failure: &message::StreamFailure) -> retries::RunKnowledge {
+    match failure.outcome {
+        message::RunOutcome::NotRun => retries::RunKnowledge::NotRun,
+        message::RunOutcome::Unknown => retries::RunKnowledge::Unknown,
+        message::RunOutcome::Failed => retries::RunKnowledge::Ran,
+    }
+}
+
 fn refusal_code(reason: message::RefusalReason) -> ErrorCode {
     match reason {
         message::RefusalReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,13 +1,17 @@
 //! Entry role: admission, choice of an endpoint and relay of the answer.
 
+pub mod admissions;
 pub mod attempts;
 pub mod clock;
+pub mod configuration;
 pub mod directory;
 pub mod dispatcher;
+pub mod drain;
 pub mod failures;
 pub mod metrics;
 pub mod plans;
 pub mod relay;
+pub mod roster;
 pub mod server;
 pub mod sessions;
 pub mod settings;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,13 +3,16 @@
 use std::time;
 
 use callers::error;
+use decisions::retries;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, UpDownCounter},
+    metrics::{Counter, Gauge, Histogram, UpDownCounter},
 };
 use serde::Serialize;
 use telemetry::metrics;
 
+use crate::admissions;
+
 /// Instruments of one entry.
 pub struct EntryMetrics {
     registry: metrics::MetricsRegistry,
@@ -21,20 +24,9 @@
     between_tokens: Histogram<f64>,
     open_streams: UpDownCounter<i64>,
     sessions: UpDownCounter<i64>,
-}
-
-/// Reason for which a request is sent once more.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RetryReason {
-    /// An agent refused the request.
-    Refused,
-    /// No connection to the chosen agent.
-    Unconnected,
-    /// A tombstone prevents the earlier attempt.
-    Tombstone,
-    /// The stream failed before its first part.
-    Failed,
+    predicted_wait: Gauge<f64>,
+    late: Gauge<u64>,
+    waiting: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -54,6 +46,9 @@
             between_tokens: meter.f64_histogram("entry_between_tokens_seconds").build(),
             open_streams: meter.i64_up_down_counter("entry_open_streams").build(),
             sessions: meter.i64_up_down_counter("entry_sessions").build(),
+            predicted_wait: meter.f64_gauge("entry_backlog_wait_seconds").build(),
+            late: meter.u64_gauge("entry_backlog_late").build(),
+            waiting: meter.u64_gauge("entry_backlog_waiting").build(),
             registry,
         })
     }
@@ -77,8 +72,8 @@
     }
 
     /// Counts a repeated attempt.
-    pub fn retried(&self, reason: RetryReason) {
-        let reason = KeyValue::new("reason", label(&reason));
+    pub fn retried(&self, reason: retries::RetryReason) {
+        let reason = KeyValue::new("reason", retry_label(reason));
         self.retries.add(1, &[reason]);
     }
 
@@ -102,6 +97,19 @@
         self.sessions.add(change, &[]);
     }
 
+    /// Records the backlog by priority. Adapters are in `status` only, since their number would
+    /// make too many time series.
+    pub fn backlog(&self, report: &admissions::BacklogReport) {
+        for entry in &report.priorities {
+            let priority = [KeyValue::new("priority", entry.name.clone())];
+            let wait = u32::try_from(entry.predicted_wait_ms).unwrap_or(u32::MAX);
+            self.predicted_wait
+                .record(f64::from(wait) / 1000.0, &priority);
+            self.late.record(entry.late.into(), &priority);
+            self.waiting.record(entry.waiting.into(), &priority);
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
@@ -114,3 +122,15 @@
     let value = serde_json::to_value(value).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
 }
+
+fn retry_label(reason: retries::RetryReason) -> &'static str {
+    match reason {
+        retries::RetryReason::AdapterUnavailable => "adapter_unavailable",
+        retries::RetryReason::ConnectFailed => "connect_failed",
+        retries::RetryReason::EndpointFailed => "endpoint_failed",
+        retries::RetryReason::EndpointLost => "endpoint_lost",
+        retries::RetryReason::Leaving => "leaving",
+        retries::RetryReason::Overloaded => "overloaded",
+        retries::RetryReason::SessionClosed => "session_closed",
+    }
+}
--- a/crates/entry/src/plans.rs
+++ b/crates/entry/src/plans.rs
@@ -2,16 +2,12 @@
 
 use std::time;
 
-use callers::{
-    completion,
-    error::{CallerError, ErrorCode},
-    handler,
-};
+use callers::{completion, error::CallerError, handler};
 use decisions::{ids, units};
 use peers::message;
 use xxhash_rust::xxh3;
 
-use crate::settings;
+use crate::{configuration, settings};
 
 /// Start of a body that decides which requests share a cached prefix, in bytes.
 const PREFIX_BYTES: usize = 1024;
@@ -48,29 +44,31 @@
     /// [`CallerError`] when the model name cannot be read.
     pub fn completion(
         settings: &settings::EntrySettings,
+        configuration: &configuration::ConfigurationView,
         request: completion::CompletionRequest,
     ) -> Result<Self, CallerError> {
-        let adapter = resolve(&request.model)?;
+        let resolved = configuration.resolve(&request.model)?;
         let route = match request.kind {
             completion::CompletionKind::Completion => message::CompletionRoute::Completions,
             completion::CompletionKind::Chat => message::CompletionRoute::ChatCompletions,
         };
+        let wanted = request.options.priority.unwrap_or(resolved.priority);
         let start = &request.body[..request.body.len().min(PREFIX_BYTES)];
         Ok(Self {
-            priority: request.options.priority.unwrap_or_default(),
-            operator: String::new(),
-            operator_weight: 1,
+            priority: wanted.min(resolved.allowed_priority),
+            operator: resolved.operator,
+            operator_weight: resolved.operator_weight,
             prefix: xxh3::xxh3_64(start),
             due: due(settings, &request.options),
             repeatable: true,
             target: PlanTarget::Adapter {
-                base_model: settings.base_model.clone(),
-                adapter: adapter.id(),
+                base_model: resolved.base_model.clone(),
+                adapter: resolved.adapter.id(),
             },
             work: message::Work::Completion {
                 route,
-                base_model: settings.base_model.clone(),
-                adapter,
+                base_model: resolved.base_model,
+                adapter: resolved.adapter,
                 body: request.body,
             },
         })
@@ -78,15 +76,23 @@
 
     /// Plan of a service call. Without a configuration that says otherwise, only methods that HTTP
     /// defines as safe may be repeated.
-    #[must_use]
-    pub fn service(settings: &settings::EntrySettings, call: handler::ServiceCall) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// [`CallerError`] when the service is not configured.
+    pub fn service(
+        settings: &settings::EntrySettings,
+        configuration: &configuration::ConfigurationView,
+        call: handler::ServiceCall,
+    ) -> Result<Self, CallerError> {
+        let is_safe = matches!(call.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+        let repeatable = configuration.service(&call.service)?.unwrap_or(is_safe);
+        Ok(Self {
             priority: call.options.priority.unwrap_or_default(),
             operator: String::new(),
             operator_weight: 1,
             prefix: 0,
             due: due(settings, &call.options),
-            repeatable: matches!(call.method.as_str(), "GET" | "HEAD" | "OPTIONS"),
+            repeatable,
             target: PlanTarget::Service(call.service.clone()),
             work: message::Work::Service {
                 service: call.service,
@@ -95,7 +101,7 @@
                 content_type: call.content_type,
                 body: call.body,
             },
-        }
+        })
     }
 
     /// Time left until the answer is due.
@@ -136,12 +142,3 @@
 ) -> tokio::time::Instant {
     tokio::time::Instant::now() + options.deadline.unwrap_or(settings.default_deadline)
 }
-
-fn resolve(model: &str) -> Result<ids::AdapterRef, CallerError> {
-    let (name, version) = ids::split_model(model)
-        .map_err(|error| CallerError::not_run(ErrorCode::UnknownModel, error.to_string()))?;
-    Ok(ids::AdapterRef {
-        name: name.to_owned(),
-        version: version.unwrap_or(1),
-    })
-}
--- /dev/null
+++ b/crates/entry/src/roster.rs
@@ -0,0 +1,149 @@
+//! Channels of an entry, which follow the instance list and the settings.
+
+use std::{net, sync::Arc, time};
+
+use decisions::membership;
+use peers::message;
+use platform::instances;
+use telemetry::{events, logs};
+use tokio::task;
+
+use crate::{configuration, directory, sessions};
+
+/// Interval in which the list is read; a change must take effect within 3 s.
+const LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// What a roster needs to open channels.
+pub struct RosterParts {
+    pub hello: message::Hello,
+    pub directory: Arc<directory::AgentDirectory>,
+    pub configuration: Arc<configuration::ConfigurationView>,
+    /// Agents of the settings, which are always listed as live.
+    pub agents: Vec<net::SocketAddr>,
+    pub list: Option<Arc<dyn instances::InstanceList>>,
+    pub logger: slog::Logger,
+}
+
+struct AgentRoster {
+    parts: RosterParts,
+    /// Sorted by address.
+    channels: Vec<sessions::ChannelTask>,
+    listed: Vec<membership::ListedInstance>,
+    is_list_missing: bool,
+}
+
+/// Running roster task; dropping it closes all channels.
+pub struct RosterTask(task::JoinHandle<()>);
+
+impl RosterTask {
+    /// Starts the task.
+    #[must_use]
+    pub fn start(parts: RosterParts) -> Self {
+        let roster = AgentRoster {
+            parts,
+            channels: Vec::new(),
+            listed: Vec::new(),
+            is_list_missing: false,
+        };
+        Self(tokio::spawn(roster.run()))
+    }
+
+    /// Closes all channels; streams that are still open end as lost.
+    pub async fn close(self) {
+        self.0.abort();
+        let _ = self.0.await;
+    }
+}
+
+impl AgentRoster {
+    async fn run(mut self) {
+        loop {
+            self.read_list().await;
+            self.parts
+                .directory
+                .set_version(self.parts.configuration.version());
+            for change in self.parts.directory.listed(&self.listed) {
+                self.follow(change);
+            }
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    async fn read_list(&mut self) {
+        let mut listed: Vec<_> = self.parts.agents.iter().map(|agent| live(*agent)).collect();
+        if let Some(list) = &self.parts.list {
+            match list.list().await {
+                Ok(instances) => {
+                    self.is_list_missing = false;
+                    let agents = instances.iter().filter_map(listed_agent);
+                    // The settings only add; the state in the list takes precedence.
+                    for agent in agents {
+                        listed.retain(|other| other.address != agent.address);
+                        listed.push(agent);
+                    }
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut self.is_list_missing, true) {
+                        let message = error.to_string();
+                        let event = events::INSTANCE_LIST_UNAVAILABLE;
+                        logs::warn(&self.parts.logger, event, &message);
+                    }
+                    if !self.listed.is_empty() {
+                        return;
+                    }
+                }
+            }
+        }
+        self.listed = listed;
+    }
+
+    fn follow(&mut self, change: membership::MemberChange) {
+        let position = self
+            .channels
+            .binary_search_by_key(&change.address, |task| task.channel.address());
+        match (change.state, position) {
+            (membership::MemberState::Unknown, Err(position)) => {
+                let hello = self.parts.hello.clone();
+                let logger = self.parts.logger.clone();
+                let channel = sessions::AgentChannel::new(change.address, hello, logger);
+                let observer: Arc<dyn sessions::ChannelObserver> = self.parts.directory.clone();
+                let task = sessions::ChannelTask::start(channel, observer);
+                self.channels.insert(position, task);
+            }
+            (membership::MemberState::Gone, Ok(position)) => {
+                let is_listed = self
+                    .listed
+                    .iter()
+                    .any(|other| other.address == change.address);
+                // A listed agent may come back under its address, so its channel keeps trying.
+                if !is_listed {
+                    self.channels.remove(position).close();
+                }
+            }
+            (membership::MemberState::Leaving, _) => {
+                let message = format!("{} leaves", change.address);
+                logs::info(&self.parts.logger, events::ENDPOINT_LEAVING, &message);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn live(address: net::SocketAddr) -> membership::ListedInstance {
+    membership::ListedInstance {
+        address,
+        state: membership::ListedState::Live,
+    }
+}
+
+fn listed_agent(instance: &instances::Instance) -> Option<membership::ListedInstance> {
+    let state = match instance.state {
+        instances::InstanceState::Live => membership::ListedState::Live,
+        instances::InstanceState::Leaving => membership::ListedState::Leaving,
+    };
+    let is_agent = instance.role == instances::InstanceRole::Agent;
+    is_agent.then_some(membership::ListedInstance {
+        address: instance.address,
+        state,
+    })
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,11 +5,18 @@
 use callers::routes;
 use decisions::{ids, load_times, wait_routing};
 use peers::message;
+use platform::{
+    follower,
+    http::{HttpLimits, PlatformClient},
+    instances,
+};
 use snafu::{ResultExt, Snafu};
 use telemetry::{events, logs};
 use tokio::{runtime, task};
 
-use crate::{clock, directory, dispatcher, metrics, sessions, settings};
+use crate::{
+    admissions, clock, configuration, directory, dispatcher, drain, metrics, roster, settings,
+};
 
 /// Reason why an entry cannot start or stop.
 #[derive(Debug, Snafu)]
@@ -36,8 +43,9 @@
     settings: settings::EntrySettings,
     logger: slog::Logger,
     callers: routes::CallerServer,
-    channels: Vec<sessions::ChannelTask>,
-    drain: Arc<dispatcher::DrainState>,
+    roster: roster::RosterTask,
+    follower: Option<follower::ConfigurationFollower>,
+    drain: Arc<drain::DrainState>,
 }
 
 /// What a shutdown left behind.
@@ -62,17 +70,39 @@
         let metrics = Arc::new(metrics::EntryMetrics::new().context(MetricsSnafu)?);
         let routing =
             wait_routing::WaitRouting::new(load_times::StoreLimits::default(), incarnation.0);
+        let clock = clock::EntryClock::default();
         let directory = Arc::new(directory::AgentDirectory::new(
             &settings.data_centre,
-            clock::EntryClock::default(),
+            clock,
             Arc::clone(&metrics),
             Box::new(routing),
         ));
+        let follower = settings.log.map(|address| {
+            let client = PlatformClient::new(address, HttpLimits::default());
+            let images = configuration::AgentImages(Arc::clone(&directory));
+            let options = follower::FollowerSettings {
+                seed: incarnation.0,
+                ..follower::FollowerSettings::default()
+            };
+            follower::ConfigurationFollower::start(
+                Arc::new(client),
+                Arc::new(images),
+                options,
+                logger.clone(),
+            )
+        });
+        let configuration = match &follower {
+            Some(follower) => configuration::ConfigurationView::following(follower.state()),
+            None => configuration::ConfigurationView::fixed(&settings.base_model),
+        };
+        let configuration = Arc::new(configuration);
         let dispatcher = dispatcher::RequestDispatcher::new(
             settings.clone(),
             incarnation,
             Arc::clone(&directory),
             metrics,
+            Arc::clone(&configuration),
+            Arc::new(admissions::AdmissionDesk::new(clock)),
             runtime::Handle::current(),
         );
         let drain = dispatcher.drain();
@@ -84,19 +114,26 @@
             entry: incarnation,
             data_centre: settings.data_centre.clone(),
         };
-        let start = |agent: &net::SocketAddr| {
-            let channel = sessions::AgentChannel::new(*agent, hello.clone(), logger.clone());
-            let observer: Arc<dyn sessions::ChannelObserver> = directory.clone();
-            sessions::ChannelTask::start(channel, observer)
-        };
-        let channels = settings.agents.iter().map(start).collect();
+        let list = settings.instance_list.map(|address| {
+            let client = PlatformClient::new(address, HttpLimits::default());
+            Arc::new(client) as Arc<dyn instances::InstanceList>
+        });
+        let roster = roster::RosterTask::start(roster::RosterParts {
+            hello,
+            directory,
+            configuration,
+            agents: settings.agents.clone(),
+            list,
+            logger: logger.clone(),
+        });
         let message = format!("serves callers on {}", callers.address());
         logs::info(&logger, events::PROCESS_STARTED, &message);
         Ok(Self {
             settings,
             logger,
             callers,
-            channels,
+            roster,
+            follower,
             drain,
         })
     }
@@ -131,8 +168,9 @@
             logs::warn(&self.logger, events::DRAIN_DEADLINE_PASSED, &message);
         }
         // Closing the channels ends the streams that are left, so that the server can stop.
-        for channel in self.channels {
-            channel.close();
+        self.roster.close().await;
+        if let Some(follower) = self.follower {
+            follower.close().await;
         }
         let callers = self.callers;
         let closing = task::spawn_blocking(move || callers.close());
--- a/crates/entry/src/sessions.rs
+++ b/crates/entry/src/sessions.rs
@@ -260,7 +260,11 @@
     }
 
     /// Stops the channel; streams that are still open end as lost.
-    pub fn close(self) {
+    pub fn close(self) {}
+}
+
+impl Drop for ChannelTask {
+    fn drop(&mut self) {
         self.task.abort();
         self.channel.streams.fail_all(&agent_lost());
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,7 +20,15 @@
     /// Threads of the HTTP interface.
     #[serde(default = "default_threads")]
     pub threads: usize,
-    /// Addresses of the agents.
+    /// Address of the platform's log. Without it no configuration is followed: every adapter name
+    /// is taken and runs on `base_model`.
+    #[serde(default)]
+    pub log: Option<net::SocketAddr>,
+    /// Address of the platform's instance list; without it only `agents` are used.
+    #[serde(default)]
+    pub instance_list: Option<net::SocketAddr>,
+    /// Addresses of agents that are used in addition to the instance list.
+    #[serde(default)]
     pub agents: Vec<net::SocketAddr>,
     /// Base model of adapters that no configuration names.
     pub base_model: String,
@@ -76,6 +84,12 @@
             "drain_seconds",
             "use at most 3600 s",
         );
+        let has_agents = !self.agents.is_empty() || self.instance_list.is_some();
+        check(
+            has_agents,
+            "agents",
+            "name an agent here or set `instance_list`",
+        );
         for (index, agent) in self.agents.iter().enumerate() {
             let path = format!("agents[{index}]");
             let is_routable = !agent.ip().is_unspecified() && !agent.ip().is_multicast();
--- /dev/null
+++ b/crates/entry/tests/faults.rs
@@ -0,0 +1,241 @@
+//! Invariants of the entry against an agent with injected faults.
+
+mod support;
+
+use std::time;
+
+use peers::message;
+use support::{FakeAgent, Faults, LOOPBACK};
+use test_case::test_case;
+
+const DRAIN: time::Duration = time::Duration::from_secs(5);
+
+// Guards against an answer with parts missing, doubled or out of order (I3), and against a second
+// run when only the transport failed (I5).
+#[test_case(Faults { mangle: true, ..Faults::default() }; "doubled and reordered parts")]
+#[test_case(Faults { lose_poll: true, ..Faults::default() }; "connection silent halfway")]
+#[test_case(Faults { lose_reply: true, ..Faults::default() }; "lost dispatch reply")]
+#[test_case(Faults { lose_reply: true, lose_poll: true, ..Faults::default() }; "lost reply and silent connection")]
+#[test_case(Faults { lose_poll: true, mangle: true, ..Faults::default() }; "silent connection and reordered parts")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_whole_and_runs_once(faults: Faults) {
+    let agent = FakeAgent::new(1, support::text_parts(), faults)
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&agent], DRAIN).await;
+    let response = support::complete(entry.address()).await;
+    assert!(response.contains("\"one two three\""), "{response}");
+    assert_eq!(agent.agent.runs(), 1);
+    entry.close().await.unwrap();
+}
+
+// Guards against a request that must not be repeated running at a second agent (I5), whether the
+// dispatch or only its reply was lost.
+#[test_case(Faults { lose_reply: true, ..Faults::default() }; "reply lost")]
+#[test_case(Faults { lose_dispatch: true, ..Faults::default() }; "dispatch lost")]
+#[test_case(Faults { lose_reply: true, lose_poll: true, ..Faults::default() }; "reply and poll lost")]
+#[tokio::test(flavor = "multi_thread")]
+async fn unrepeatable_call_runs_once(faults: Faults) {
+    let one = FakeAgent::new(1, support::service_parts(), faults)
+        .start(LOOPBACK)
+        .await;
+    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one, &other], DRAIN).await;
+    let response = support::order(entry.address()).await;
+    assert!(response.contains("order 7 stored"), "{response}");
+    assert_eq!(one.agent.runs() + other.agent.runs(), 1);
+    entry.close().await.unwrap();
+}
+
+// Guards against `not_run`, or a run elsewhere, for a call that a lost incarnation may have run
+// (I4, I5).
+#[tokio::test(flavor = "multi_thread")]
+async fn call_of_a_lost_incarnation_is_unknown() {
+    let held = Faults {
+        hold_after: Some(0),
+        ..Faults::default()
+    };
+    let one = FakeAgent::new(1, support::service_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one, &other], DRAIN).await;
+    let call = tokio::spawn(support::order(entry.address()));
+    support::eventually(|| async { one.agent.runs() == 1 }).await;
+    let address = one.address;
+    one.stop().await;
+    let _next = FakeAgent::new(3, support::service_parts(), Faults::default())
+        .start(address)
+        .await;
+    let response = call.await.unwrap();
+    assert!(response.contains("\"outcome\":\"unknown\""), "{response}");
+    assert_eq!(other.agent.dispatches(), 0);
+    entry.close().await.unwrap();
+}
+
+// Guards against a completion that is lost with its agent before its first token.
+#[tokio::test(flavor = "multi_thread")]
+async fn completion_of_a_lost_incarnation_runs_again() {
+    let held = Faults {
+        hold_after: Some(0),
+        ..Faults::default()
+    };
+    let one = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one], DRAIN).await;
+    let call = tokio::spawn(support::complete(entry.address()));
+    support::eventually(|| async { one.agent.runs() == 1 }).await;
+    let address = one.address;
+    one.stop().await;
+    let next = FakeAgent::new(3, support::text_parts(), Faults::default())
+        .start(address)
+        .await;
+    let response = call.await.unwrap();
+    assert!(response.contains("\"one two three\""), "{response}");
+    assert_eq!(next.agent.runs(), 1);
+    entry.close().await.unwrap();
+}
+
+// Guards against a silent restart of an answer whose first token the caller already has.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_answer_is_not_restarted() {
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let one = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let other = FakeAgent::new(
+        2,
+        support::text_parts(),
+        Faults {
+            refuse: Some(message::RefusalReason::QueueFull),
+            ..Faults::default()
+        },
+    )
+    .start(LOOPBACK)
+    .await;
+    let entry = support::start_entry(&[&one, &other], DRAIN).await;
+    let call = tokio::spawn(support::complete(entry.address()));
+    support::eventually(|| async { one.agent.runs() == 1 }).await;
+    let before = other.agent.dispatches();
+    support::eventually(|| async {
+        let metrics = support::send(entry.address(), "GET", "/metrics", "").await;
+        let mut lines = metrics.lines();
+        lines
+            .any(|line| line.starts_with("entry_first_token_seconds_count") && line.ends_with(" 1"))
+    })
+    .await;
+    let address = one.address;
+    one.stop().await;
+    let next = FakeAgent::new(3, support::text_parts(), Faults::default())
+        .start(address)
+        .await;
+    let response = call.await.unwrap();
+    assert!(response.contains("\"outcome\":\"unknown\""), "{response}");
+    assert_eq!(next.agent.dispatches() + other.agent.dispatches(), before);
+    entry.close().await.unwrap();
+}
+
+// Guards against an agent whose refusal is reported while another one has room.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_request_runs_elsewhere() {
+    let full = Faults {
+        refuse: Some(message::RefusalReason::QueueFull),
+        ..Faults::default()
+    };
+    let one = FakeAgent::new(1, support::service_parts(), full)
+        .start(LOOPBACK)
+        .await;
+    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one, &other], DRAIN).await;
+    let response = support::order(entry.address()).await;
+    assert!(response.contains("order 7 stored"), "{response}");
+    assert_eq!(one.agent.dispatches(), 1);
+    let metrics = support::send(entry.address(), "GET", "/metrics", "").await;
+    assert!(metrics.contains("reason=\"overloaded\""), "{metrics}");
+    entry.close().await.unwrap();
+}
+
+// Guards against new work for an agent that says that it leaves (I6).
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_agent_gets_no_new_work() {
+    let one = FakeAgent::new(1, support::text_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let other = FakeAgent::new(2, support::text_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one, &other], DRAIN).await;
+    one.agent.set_faults(Faults {
+        leaving: true,
+        ..Faults::default()
+    });
+    support::eventually(|| async {
+        let status = support::send(entry.address(), "GET", "/status", "").await;
+        status.contains("\"leaving\":true")
+    })
+    .await;
+    for _ in 0..20 {
+        let response = support::complete(entry.address()).await;
+        assert!(response.contains("\"one two three\""), "{response}");
+    }
+    assert_eq!(one.agent.dispatches(), 0);
+    assert_eq!(other.agent.dispatches(), 20);
+    entry.close().await.unwrap();
+}
+
+// Guards against a shutdown that interrupts an open request or takes a new one (I7).
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_finishes_open_requests_and_takes_none() {
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&agent], DRAIN).await;
+    let address = entry.address();
+    let call = tokio::spawn(support::complete(address));
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    entry.drain();
+    let ready = support::send(address, "GET", "/readyz", "").await;
+    assert!(ready.starts_with("HTTP/1.1 503"), "{ready}");
+    let refused = support::complete(address).await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(
+        refused.contains("\"code\":\"draining\"") && refused.contains("\"outcome\":\"not_run\"")
+    );
+    let closing = tokio::spawn(entry.close());
+    agent.agent.set_faults(Faults::default());
+    assert!(call.await.unwrap().contains("\"one two three\""));
+    assert_eq!(closing.await.unwrap().unwrap().cut_off, 0);
+    assert_eq!(agent.agent.dispatches(), 1);
+}
+
+// Guards against a shutdown that waits without a bound, or hides that it cut requests off.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_deadline_cuts_off_and_counts() {
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&agent], time::Duration::from_millis(50)).await;
+    let call = tokio::spawn(support::complete(entry.address()));
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    assert_eq!(entry.close().await.unwrap().cut_off, 1);
+    let response = call.await.unwrap();
+    assert!(response.contains("\"outcome\":\"unknown\""), "{response}");
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,366 @@
+//! Fake agent with injected faults, and a caller.
+
+use std::{
+    collections::BTreeMap,
+    net,
+    sync::{Arc, atomic},
+    time,
+};
+
+use decisions::ids;
+use entry::{server::EntryServer, settings::EntrySettings};
+use futures::{FutureExt, future, future::BoxFuture};
+use parking_lot::Mutex;
+use peers::{message, service};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync, task,
+};
+
+pub const LOOPBACK: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+
+/// Faults of a fake agent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// The reply to the next dispatch is lost after the request was taken.
+    pub lose_reply: bool,
+    /// The next dispatch is lost before the request was taken.
+    pub lose_dispatch: bool,
+    /// Every event is sent twice and in reverse order.
+    pub mangle: bool,
+    /// The next poll that carries events never ends, and its events are lost.
+    pub lose_poll: bool,
+    /// Streams stop after this number of parts until it is raised.
+    pub hold_after: Option<usize>,
+    pub refuse: Option<message::RefusalReason>,
+    pub leaving: bool,
+}
+
+pub struct FakeAgent {
+    pub incarnation: ids::Incarnation,
+    parts: Vec<message::StreamPart>,
+    state: Mutex<FakeState>,
+    wake: sync::Notify,
+    pub dispatches: atomic::AtomicUsize,
+}
+
+#[derive(Default)]
+struct FakeState {
+    faults: Faults,
+    /// Next part to send by request that runs.
+    streams: BTreeMap<ids::RequestId, usize>,
+    tombstones: Vec<ids::RequestId>,
+}
+
+pub struct RunningAgent {
+    pub agent: Arc<FakeAgent>,
+    pub address: net::SocketAddr,
+    task: task::JoinHandle<()>,
+}
+
+impl FakeAgent {
+    pub fn new(incarnation: u64, parts: Vec<message::StreamPart>, faults: Faults) -> Arc<Self> {
+        let state = FakeState {
+            faults,
+            ..FakeState::default()
+        };
+        Arc::new(Self {
+            incarnation: ids::Incarnation(incarnation),
+            parts,
+            state: Mutex::new(state),
+            wake: sync::Notify::new(),
+            dispatches: atomic::AtomicUsize::new(0),
+        })
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+        self.wake.notify_one();
+    }
+
+    /// Requests that ran.
+    pub fn runs(&self) -> usize {
+        self.state.lock().streams.len()
+    }
+
+    pub fn dispatches(&self) -> usize {
+        self.dispatches.load(atomic::Ordering::SeqCst)
+    }
+
+    pub async fn start(self: Arc<Self>, address: net::SocketAddr) -> RunningAgent {
+        let listener = service::AgentListener::bind(address).await.unwrap();
+        let address = listener.address();
+        let handler: Arc<dyn service::AgentHandler> = self.clone();
+        let task = tokio::spawn(listener.serve(handler));
+        RunningAgent {
+            agent: self,
+            address,
+            task,
+        }
+    }
+
+    fn report(&self) -> message::LoadReport {
+        message::LoadReport {
+            sequence: 1,
+            leaving: self.state.lock().faults.leaving,
+            replicas: vec![message::ReplicaReport {
+                replica: 0,
+                base_model: "base".into(),
+                ready: true,
+                adapter_slots: 8,
+                batch_limit: 16,
+                running: 0,
+                queued: 0,
+                wait_millis: [0; 3],
+                adapters: Vec::new(),
+                loading: Vec::new(),
+            }],
+            services: vec!["orders".into()],
+            waiting_loads: 0,
+        }
+    }
+
+    fn take(&self, dispatch: &message::Dispatch) -> message::DispatchReply {
+        let mut state = self.state.lock();
+        let refused = |reason| message::DispatchReply::Refused {
+            reason,
+            retry_after: time::Duration::ZERO,
+        };
+        if let Some(reason) = state.faults.refuse {
+            return refused(reason);
+        }
+        if state.tombstones.contains(&dispatch.request) {
+            return refused(message::RefusalReason::Cancelled);
+        }
+        state.streams.entry(dispatch.request).or_insert(0);
+        drop(state);
+        self.wake.notify_one();
+        message::DispatchReply::Accepted
+    }
+
+    fn collect(&self) -> Vec<message::StreamEvent> {
+        let mut state = self.state.lock();
+        let limit = state
+            .faults
+            .hold_after
+            .unwrap_or(usize::MAX)
+            .min(self.parts.len());
+        let mut events = Vec::new();
+        for (request, sent) in &mut state.streams {
+            for index in *sent..limit {
+                events.push(message::StreamEvent {
+                    request: *request,
+                    index: index as u64,
+                    part: self.parts[index].clone(),
+                });
+            }
+            *sent = limit.max(*sent);
+        }
+        if state.faults.mangle {
+            let mut doubled = events.clone();
+            doubled.extend(events.iter().rev().cloned());
+            doubled.reverse();
+            return doubled;
+        }
+        events
+    }
+
+    async fn answer_poll(&self, poll: message::Poll) -> message::PollReply {
+        for ack in &poll.acks {
+            if let Some(sent) = self.state.lock().streams.get_mut(&ack.request) {
+                *sent = usize::try_from(ack.received).unwrap();
+            }
+        }
+        let deadline = tokio::time::Instant::now() + poll.wait;
+        let mut events = self.collect();
+        while events.is_empty() {
+            if tokio::time::timeout_at(deadline, self.wake.notified())
+                .await
+                .is_err()
+            {
+                break;
+            }
+            events = self.collect();
+        }
+        let is_lost = {
+            let faults = &mut self.state.lock().faults;
+            !events.is_empty() && std::mem::take(&mut faults.lose_poll)
+        };
+        if is_lost {
+            future::pending::<()>().await;
+        }
+        message::PollReply::Events {
+            events,
+            report: Some(self.report()),
+            configuration_version: 0,
+        }
+    }
+}
+
+impl service::AgentHandler for FakeAgent {
+    fn hello(&self, _: message::Hello) -> BoxFuture<'_, message::HelloReply> {
+        let welcome = message::Welcome {
+            agent: self.incarnation,
+            session: ids::SessionId(1),
+            data_centre: "a".into(),
+            report: self.report(),
+        };
+        future::ready(message::HelloReply::Welcome(welcome)).boxed()
+    }
+
+    fn dispatch(&self, dispatch: message::Dispatch) -> BoxFuture<'_, message::DispatchReply> {
+        async move {
+            self.dispatches.fetch_add(1, atomic::Ordering::SeqCst);
+            let (loses_dispatch, loses_reply) = {
+                let faults = &mut self.state.lock().faults;
+                let loses_dispatch = std::mem::take(&mut faults.lose_dispatch);
+                (loses_dispatch, std::mem::take(&mut faults.lose_reply))
+            };
+            if loses_dispatch {
+                future::pending::<()>().await;
+            }
+            let reply = self.take(&dispatch);
+            if loses_reply {
+                future::pending::<()>().await;
+            }
+            reply
+        }
+        .boxed()
+    }
+
+    fn poll(&self, poll: message::Poll) -> BoxFuture<'_, message::PollReply> {
+        self.answer_poll(poll).boxed()
+    }
+
+    fn attach(
+        &self,
+        _: ids::SessionId,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+    ) -> BoxFuture<'_, message::CancelReply> {
+        let is_known = self.state.lock().streams.contains_key(&request);
+        let reply = match (agent == self.incarnation, is_known) {
+            (false, _) => message::CancelReply::WrongIncarnation,
+            (true, true) => message::CancelReply::Running,
+            (true, false) => message::CancelReply::NotRun,
+        };
+        future::ready(reply).boxed()
+    }
+
+    fn cancel(
+        &self,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+    ) -> BoxFuture<'_, message::CancelReply> {
+        let mut state = self.state.lock();
+        let reply = if agent != self.incarnation {
+            message::CancelReply::WrongIncarnation
+        } else if state.streams.contains_key(&request) {
+            message::CancelReply::Running
+        } else {
+            state.tombstones.push(request);
+            message::CancelReply::NotRun
+        };
+        future::ready(reply).boxed()
+    }
+
+    fn configuration(&self, _: u64) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
+        future::ready(None).boxed()
+    }
+}
+
+impl RunningAgent {
+    /// Closes the listener and all connections.
+    pub async fn stop(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+/// Answer of a completion in three parts of text.
+pub fn text_parts() -> Vec<message::StreamPart> {
+    let text = |text: &str| message::StreamPart::Text {
+        text: text.into(),
+        tokens: 1,
+    };
+    let end = message::StreamPart::Finished {
+        finish_reason: Some("stop".into()),
+        prompt_tokens: 1,
+        completion_tokens: 3,
+    };
+    vec![text("one "), text("two "), text("three"), end]
+}
+
+/// Answer of a plain service.
+pub fn service_parts() -> Vec<message::StreamPart> {
+    let head = message::StreamPart::Head {
+        status: 200,
+        content_type: None,
+    };
+    let end = message::StreamPart::Finished {
+        finish_reason: None,
+        prompt_tokens: 0,
+        completion_tokens: 0,
+    };
+    vec![
+        head,
+        message::StreamPart::Bytes(b"order 7 stored".into()),
+        end,
+    ]
+}
+
+pub async fn start_entry(agents: &[&RunningAgent], drain: time::Duration) -> EntryServer {
+    let entry = EntryServer::start(EntrySettings {
+        listen: LOOPBACK,
+        data_centre: "a".into(),
+        threads: 1,
+        log: None,
+        instance_list: None,
+        agents: agents.iter().map(|agent| agent.address).collect(),
+        base_model: "base".into(),
+        default_deadline: time::Duration::from_secs(10),
+        drain,
+    })
+    .unwrap();
+    let connected = String::from("\"connected\":true");
+    eventually(|| async {
+        let status = send(entry.address(), "GET", "/status", "").await;
+        status.matches(&connected).count() == agents.len()
+    })
+    .await;
+    entry
+}
+
+/// Repeats a check until it holds.
+pub async fn eventually<F: Future<Output = bool>>(check: impl Fn() -> F) {
+    for _ in 0..1000 {
+        if check().await {
+            return;
+        }
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    panic!("the condition never held");
+}
+
+pub async fn send(address: net::SocketAddr, method: &str, path: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.unwrap();
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+pub async fn complete(address: net::SocketAddr) -> String {
+    let body = r#"{"model": "notes@3", "prompt": "count"}"#;
+    send(address, "POST", "/v1/completions", body).await
+}
+
+pub async fn order(address: net::SocketAddr) -> String {
+    send(address, "POST", "/services/orders/new", "one coffee").await
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -49,6 +49,8 @@
         listen: LOOPBACK,
         data_centre: "a".into(),
         threads: 1,
+        log: None,
+        instance_list: None,
         agents: vec![agent.address()],
         base_model: "base".into(),
         default_deadline: std::time::Duration::from_secs(10),
