Run requests with an idempotency key at most once for all entries

Cause: keys were refused, because the claim streams were not connected.

Change: `claims` appends claims in groups and reads each stream to its end; `keyed` carries out the steps of `decisions::claim_attempt`. Callers of one key at one entry take turns, because a session has one reader per request. The agent sends a stream to one session at a time, so an entry whose kept stream is silent for 1 s attaches it again. A claim that ends as not run because another entry left a tombstone is made again up to three times: the two-entry test without a fault had answered one caller `not_run` while another caller's claim ran.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -16,6 +16,10 @@
 /// Wait for a replaced connection between two questions to an agent.
 const ASK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Silence of a kept answer after which it is attached again: another caller of the key may have
+/// moved the stream to its entry, and the agent sends it to one session at a time.
+const ATTACH_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Parts of the entry that an attempt uses.
 #[derive(Clone)]
 pub struct AttemptContext {
@@ -63,6 +67,8 @@
     started: tokio::time::Instant,
     last_part: Option<tokio::time::Instant>,
     is_ended: bool,
+    /// Whether the request goes on when its caller is gone.
+    is_kept: bool,
 }
 
 /// Sends a request to its endpoint. Asks the agent what became of it when the reply is lost.
@@ -157,12 +163,27 @@
             started: tokio::time::Instant::now(),
             last_part: None,
             is_ended: false,
+            is_kept: false,
         }
     }
 
+    /// Attempt whose answer the agent keeps for other callers of its key.
+    #[must_use]
+    pub fn kept(context: &AttemptContext, target: AttemptTarget) -> Self {
+        let mut attempt = Self::new(context, target);
+        attempt.is_kept = true;
+        attempt
+    }
+
+    /// Request of this attempt.
+    #[must_use]
+    pub fn request(&self) -> ids::RequestId {
+        self.target.request
+    }
+
     /// Next part of the answer; a stream that is gone ends with a failure of unknown outcome.
     pub async fn next(&mut self) -> message::StreamPart {
-        let part = self.reader.next().await.unwrap_or_else(interrupted);
+        let part = self.receive().await.unwrap_or_else(interrupted);
         let now = tokio::time::Instant::now();
         match &part {
             message::StreamPart::Finished { .. } => self.end(routing::AttemptEnd::Finished),
@@ -176,6 +197,31 @@
         part
     }
 
+    async fn receive(&mut self) -> Option<message::StreamPart> {
+        if !self.is_kept {
+            return self.reader.next().await;
+        }
+        loop {
+            match tokio::time::timeout(ATTACH_INTERVAL, self.reader.next()).await {
+                Ok(part) => return part,
+                Err(_) => self.attach_again().await,
+            }
+        }
+    }
+
+    async fn attach_again(&self) {
+        let Some(connection) = connection_to(&self.target) else {
+            return;
+        };
+        let call = service::deadline(CALL_LIMIT);
+        let (agent, request) = (connection.agent, self.target.request);
+        let attach = connection
+            .client
+            .attach(call, connection.session, agent, request);
+        // The next interval tries again.
+        let _ = attach.await;
+    }
+
     /// Ends an attempt that the agent no longer runs.
     fn close(mut self, end: routing::AttemptEnd) {
         self.end(end);
@@ -221,6 +267,9 @@
             return;
         }
         self.end(routing::AttemptEnd::Failed);
+        if self.is_kept {
+            return;
+        }
         let target = self.target.clone();
         self.context.runtime.spawn(async move {
             // Without a connection the agent cancels the request with its session.
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,205 @@
+//! Claim streams of the log.
+//!
+//! Waiting claims of one stream share an append, and callers that wait for the end of a stream
+//! share a read. A lost reply is never interpreted: the stream is read to its end instead.
+
+use std::{collections::BTreeSet, sync::Arc, time};
+
+use bytes::Bytes;
+use decisions::{claim_attempt, claim_batch, claims, ids};
+use parking_lot::Mutex;
+use platform::log::{LogError, LogService};
+use tokio::sync;
+
+use crate::clock;
+
+/// Gap between two appends of one entry to one stream.
+const APPEND_GAP: time::Duration = time::Duration::from_millis(50);
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(10);
+const READ_RECORDS: usize = 256;
+
+/// Claim streams as one entry uses them.
+pub struct ClaimLog {
+    streams: Vec<ClaimStream>,
+}
+
+/// One claim stream with its replayed window.
+pub struct ClaimStream {
+    name: String,
+    log: Arc<dyn LogService>,
+    clock: clock::EntryClock,
+    length: time::Duration,
+    state: Mutex<StreamState>,
+    /// Held during an append.
+    append: sync::Mutex<()>,
+    /// Held during a read; numbers of the last read that began and of the last successful one.
+    read: sync::Mutex<()>,
+}
+
+struct StreamState {
+    window: claims::ClaimWindow,
+    batcher: claim_batch::ClaimBatcher,
+    /// Claims that no batch has taken yet.
+    waiting: BTreeSet<(ids::RequestId, u32)>,
+    reads_begun: u64,
+    last_read: u64,
+}
+
+/// Ends the outstanding append, also when its caller is gone.
+struct AppendGuard<'a>(&'a ClaimStream);
+
+impl ClaimLog {
+    /// Claim streams in a log.
+    #[must_use]
+    pub fn new(
+        log: &Arc<dyn LogService>,
+        streams: u16,
+        length: time::Duration,
+        clock: clock::EntryClock,
+    ) -> Self {
+        let streams = (0..streams.max(1)).map(|index| ClaimStream {
+            name: format!("claims-{index}"),
+            log: Arc::clone(log),
+            clock,
+            length,
+            state: Mutex::new(StreamState {
+                window: claims::ClaimWindow::new(length, 0),
+                batcher: claim_batch::ClaimBatcher::new(APPEND_GAP),
+                waiting: BTreeSet::new(),
+                reads_begun: 0,
+                last_read: 0,
+            }),
+            append: sync::Mutex::default(),
+            read: sync::Mutex::default(),
+        });
+        Self {
+            streams: streams.collect(),
+        }
+    }
+
+    /// Stream of a key.
+    #[must_use]
+    pub fn stream(&self, key: &claims::ClaimKey) -> &ClaimStream {
+        let count = u16::try_from(self.streams.len()).unwrap_or(1);
+        &self.streams[usize::from(key.stream(count))]
+    }
+}
+
+impl ClaimStream {
+    /// Appends a claim together with others that wait.
+    pub async fn append(&self, record: &claims::ClaimRecord) -> claim_attempt::ClaimEvent {
+        let identity = (record.request, record.attempt);
+        {
+            let mut state = self.state.lock();
+            state.batcher.push(record.clone());
+            state.waiting.insert(identity);
+        }
+        loop {
+            let _appending = self.append.lock().await;
+            if !self.state.lock().waiting.contains(&identity) {
+                // Another caller's append took the claim; the read that follows shows the outcome.
+                return claim_attempt::ClaimEvent::AppendLost;
+            }
+            let Some(batch) = self.next_batch() else {
+                tokio::time::sleep(RETRY_INTERVAL).await;
+                continue;
+            };
+            let guard = AppendGuard(self);
+            let event = self.append_batch(&batch).await;
+            drop(guard);
+            if batch.claims.iter().any(|claim| claim.is_same_claim(record)) {
+                return event;
+            }
+        }
+    }
+
+    /// Reads the stream up to the end that it has at the time of the call or later, and returns
+    /// the outcome of a key.
+    ///
+    /// # Errors
+    /// [`LogError`] when the log does not answer.
+    pub async fn read(
+        &self,
+        key: &claims::ClaimKey,
+    ) -> Result<Option<claims::ClaimRecord>, LogError> {
+        let asked = self.state.lock().reads_begun;
+        let reading = self.read.lock().await;
+        if self.state.lock().last_read <= asked {
+            let number = {
+                let mut state = self.state.lock();
+                state.reads_begun += 1;
+                state.reads_begun
+            };
+            self.read_to_end().await?;
+            self.state.lock().last_read = number;
+        }
+        drop(reading);
+        let state = self.state.lock();
+        let now = wall_time();
+        if !state.window.is_complete(now) {
+            let message = "the claims of the window are not all retained".to_owned();
+            return Err(LogError::NotApplied { message });
+        }
+        Ok(state.window.outcome(key, now).cloned())
+    }
+
+    fn next_batch(&self) -> Option<claims::ClaimBatch> {
+        let mut state = self.state.lock();
+        let batch = state.batcher.next(self.clock.now())?;
+        for claim in &batch.claims {
+            state.waiting.remove(&(claim.request, claim.attempt));
+        }
+        Some(batch)
+    }
+
+    async fn append_batch(&self, batch: &claims::ClaimBatch) -> claim_attempt::ClaimEvent {
+        let record = Bytes::from(serde_json::to_vec(batch).unwrap_or_default());
+        match self.log.append(&self.name, vec![record]).await {
+            Ok(_) => claim_attempt::ClaimEvent::Appended,
+            Err(LogError::MaybeApplied { .. }) => claim_attempt::ClaimEvent::AppendLost,
+            Err(_) => claim_attempt::ClaimEvent::LogUnavailable,
+        }
+    }
+
+    async fn read_to_end(&self) -> Result<(), LogError> {
+        loop {
+            let from = self.state.lock().window.next_offset();
+            let batch = match self.log.read(&self.name, from, READ_RECORDS).await {
+                Err(LogError::OffsetExpired { first_retained }) => {
+                    self.state.lock().window =
+                        claims::ClaimWindow::new(self.length, first_retained);
+                    continue;
+                }
+                batch => batch?,
+            };
+            let mut state = self.state.lock();
+            for record in &batch.records {
+                // A record that is not a batch still takes its offset.
+                let claims = serde_json::from_slice(&record.payload).unwrap_or_default();
+                state.window.apply(record.offset, &claims);
+            }
+            let next = state.window.next_offset();
+            if next >= batch.end {
+                return Ok(());
+            }
+            if next == from {
+                let message = "the log returned none of the records it announced".to_owned();
+                return Err(LogError::NotApplied { message });
+            }
+        }
+    }
+}
+
+impl Drop for AppendGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().batcher.finish();
+    }
+}
+
+/// Time for claim records.
+#[must_use]
+pub fn wall_time() -> claims::WallTime {
+    let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |duration| duration.as_millis());
+    claims::WallTime(u64::try_from(millis).unwrap_or(u64::MAX))
+}
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -146,7 +146,9 @@
         self.version.store(version, Ordering::Relaxed);
     }
 
-    fn channel(&self, agent: ids::Incarnation) -> Option<Arc<sessions::AgentChannel>> {
+    /// Channel of an incarnation.
+    #[must_use]
+    pub fn channel(&self, agent: ids::Incarnation) -> Option<Arc<sessions::AgentChannel>> {
         let agents = self.agents.lock();
         let position = position(&agents, agent).ok()?;
         Some(Arc::clone(&agents[position].channel))
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -13,14 +13,15 @@
     error::{CallerError, ErrorCode},
     handler::{self, AnswerPart},
 };
-use decisions::{ids, retries, routing, units};
+use decisions::{claims, ids, retries, routing, units};
 use futures::{StreamExt, future, stream};
 use parking_lot::Mutex;
 use peers::message;
 use tokio::runtime;
 
 use crate::{
-    admissions, attempts, configuration, directory, drain, failures, metrics, plans, settings,
+    admissions, attempts, configuration, directory, drain, failures, keyed, metrics, plans,
+    settings,
 };
 
 /// Dispatcher of one entry.
@@ -33,12 +34,15 @@
     configuration: Arc<configuration::ConfigurationView>,
     drain: Arc<drain::DrainState>,
     desk: Arc<admissions::AdmissionDesk>,
+    keyed: Option<Arc<keyed::KeyedRequests>>,
 }
 
 /// Attempt whose first part has arrived.
 struct StartedAnswer {
     attempt: attempts::OpenAttempt,
     first: message::StreamPart,
+    /// Keeps other callers of the same key waiting.
+    turn: Option<keyed::KeyTurn>,
 }
 
 /// Why an attempt is followed by another one.
@@ -73,9 +77,17 @@
             configuration,
             drain: Arc::default(),
             desk,
+            keyed: None,
         }
     }
 
+    /// Accepts idempotency keys.
+    #[must_use]
+    pub fn with_keys(mut self, keyed: keyed::KeyedRequests) -> Self {
+        self.keyed = Some(Arc::new(keyed));
+        self
+    }
+
     /// State that a shutdown waits for.
     #[must_use]
     pub fn drain(&self) -> Arc<drain::DrainState> {
@@ -87,7 +99,6 @@
         request: completion::CompletionRequest,
     ) -> Result<handler::AnswerStream, CallerError> {
         let open = self.drain.enter()?;
-        refuse_key(&request.options)?;
         let plan = plans::RequestPlan::completion(&self.settings, &self.configuration, request)?;
         let answer = self.run(&plan).await?;
         Ok(self.relay(answer, open))
@@ -98,7 +109,6 @@
         call: handler::ServiceCall,
     ) -> Result<handler::AnswerStream, CallerError> {
         let open = self.drain.enter()?;
-        refuse_key(&call.options)?;
         let plan = plans::RequestPlan::service(&self.settings, &self.configuration, call)?;
         let answer = self.run(&plan).await?;
         Ok(self.relay(answer, open))
@@ -107,6 +117,9 @@
     /// Makes attempts until one has a first part.
     async fn run(&self, plan: &plans::RequestPlan) -> Result<StartedAnswer, CallerError> {
         self.context.metrics.requested();
+        if let Some(key) = &plan.key {
+            return self.run_keyed(plan, key).await;
+        }
         self.retries.lock().first_attempt();
         let mut tried = Vec::new();
         let mut last: Option<Setback> = None;
@@ -136,6 +149,34 @@
         }
     }
 
+    async fn run_keyed(
+        &self,
+        plan: &plans::RequestPlan,
+        key: &str,
+    ) -> Result<StartedAnswer, CallerError> {
+        let keyed = self.keyed.as_ref().ok_or_else(failures::no_log)?;
+        let next = || self.choose(plan, &[]).map(|(target, _)| target);
+        let run = keyed::KeyedRun {
+            context: &self.context,
+            plan,
+            key: claims::ClaimKey {
+                operator: plan.operator.clone(),
+                key: key.to_owned(),
+            },
+            next: &next,
+        };
+        let (mut attempt, turn) = keyed.run(&run).await?;
+        let first = attempt.next().await;
+        if let message::StreamPart::Failed(failure) = &first {
+            return Err(failures::stream_error(failure));
+        }
+        Ok(StartedAnswer {
+            attempt,
+            first,
+            turn: Some(turn),
+        })
+    }
+
     async fn attempt(
         &self,
         plan: &plans::RequestPlan,
@@ -155,7 +196,11 @@
                 if let Some(waiting) = waiting {
                     waiting.answered(!plan.time_left().is_zero());
                 }
-                Ok(StartedAnswer { attempt, first })
+                Ok(StartedAnswer {
+                    attempt,
+                    first,
+                    turn: None,
+                })
             }
             attempts::DispatchEnd::NotRun(reason) => Err(Setback {
                 reason: failures::retry_reason(reason),
@@ -223,7 +268,7 @@
 
     fn relay(&self, answer: StartedAnswer, open: drain::OpenRequest) -> handler::AnswerStream {
         let metrics = Arc::clone(&self.context.metrics);
-        let state = Some((Some(answer.first), answer.attempt, open));
+        let state = Some((Some(answer.first), answer.attempt, (open, answer.turn)));
         stream::unfold(state, move |state| {
             let metrics = Arc::clone(&metrics);
             async move {
@@ -299,15 +344,6 @@
     }
 }
 
-/// Refuses a key, because claims in the log are not available to this entry.
-fn refuse_key(options: &handler::RequestOptions) -> Result<(), CallerError> {
-    if options.idempotency_key.is_none() {
-        return Ok(());
-    }
-    let message = "this entry has no log for idempotency keys; send the request without a key";
-    Err(CallerError::not_run(ErrorCode::LogUnavailable, message))
-}
-
 fn answer_part(part: message::StreamPart) -> AnswerPart {
     match part {
         message::StreamPart::Head {
--- a/crates/entry/src/failures.rs
+++ b/crates/entry/src/failures.rs
@@ -75,6 +75,13 @@
     CallerError::not_run(ErrorCode::NoEndpoint, message).retry_after(RETRY_DELAY)
 }
 
+/// Error for a key at an entry without a log.
+#[must_use]
+pub fn no_log() -> CallerError {
+    let message = "this entry has no log for idempotency keys; set `log` in its settings";
+    CallerError::not_run(ErrorCode::LogUnavailable, message)
+}
+
 /// Error for a request that arrives while the entry drains.
 #[must_use]
 pub fn draining() -> CallerError {
--- /dev/null
+++ b/crates/entry/src/keyed.rs
@@ -0,0 +1,376 @@
+//! Requests with an idempotency key, which run at most once for all entries.
+//!
+//! `decisions::claim_attempt` decides each step; this module carries it out.
+
+use std::{
+    collections::BTreeMap,
+    ops,
+    sync::{Arc, Weak},
+    time,
+};
+
+use callers::error::{CallerError, ErrorCode, RequestOutcome};
+use decisions::{
+    claim_attempt::{self, ClaimAction, ClaimEvent},
+    claims as records, ids, routing,
+};
+use parking_lot::Mutex;
+use peers::{message, service};
+use rand::Rng;
+use telemetry::{events, logs};
+use tokio::sync;
+use xxhash_rust::xxh3;
+
+use crate::{attempts, claims, failures, plans};
+
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Claims that one caller's request makes while they end as not run.
+const MAX_TRIES: usize = 3;
+const PAUSE_MILLIS: ops::Range<u64> = 10..100;
+const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time after the deadline in which a tombstone may still be left.
+const GIVE_UP_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Requests with keys at one entry.
+pub struct KeyedRequests {
+    log: claims::ClaimLog,
+    logger: slog::Logger,
+    /// A session has one reader per request, so callers of one key take turns.
+    turns: Mutex<BTreeMap<records::ClaimKey, Weak<sync::Mutex<()>>>>,
+}
+
+/// Turn of one caller for its key, held until its answer ends.
+pub type KeyTurn = sync::OwnedMutexGuard<()>;
+
+/// What one keyed request uses.
+pub struct KeyedRun<'a> {
+    pub context: &'a attempts::AttemptContext,
+    pub plan: &'a plans::RequestPlan,
+    pub key: records::ClaimKey,
+    /// Chooses the agent and the id of a further attempt.
+    pub next: &'a (dyn Fn() -> Result<attempts::AttemptTarget, CallerError> + Send + Sync),
+}
+
+impl KeyedRequests {
+    /// Keyed requests over the claim streams of a log.
+    #[must_use]
+    pub fn new(log: claims::ClaimLog, logger: slog::Logger) -> Self {
+        Self {
+            log,
+            logger,
+            turns: Mutex::default(),
+        }
+    }
+
+    /// Claims the key and returns the stream of the request that won it.
+    ///
+    /// # Errors
+    /// [`CallerError`] that says whether the request of the key ran.
+    pub async fn run(
+        &self,
+        run: &KeyedRun<'_>,
+    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
+        let mut tries = 1;
+        loop {
+            let outcome = self.claim_once(run).await;
+            let is_not_run = outcome
+                .as_ref()
+                .is_err_and(|error| error.code == ErrorCode::LogUnavailable)
+                && !run.plan.time_left().is_zero();
+            if !is_not_run || tries >= MAX_TRIES {
+                return outcome;
+            }
+            // Another entry may have left the tombstone to supersede this claim; a new claim finds
+            // its request. The pause differs so that the entries do not cancel each other again.
+            tries += 1;
+            let pause = rand::rng().random_range(PAUSE_MILLIS);
+            tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn claim_once(
+        &self,
+        run: &KeyedRun<'_>,
+    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
+        let mut targets = Vec::new();
+        let outcome = self.claim(run, &mut targets).await;
+        let relayed = outcome.as_ref().ok().map(|(attempt, _)| attempt.request());
+        for target in targets {
+            if Some(target.request) != relayed {
+                let attempt = routing::Attempt {
+                    request: target.request,
+                    endpoint: target.endpoint,
+                };
+                let end = routing::AttemptEnd::NotRun;
+                let directory = &run.context.directory;
+                directory.observe(|routing, now| routing.ended(attempt, end, now));
+            }
+        }
+        outcome
+    }
+
+    async fn claim(
+        &self,
+        run: &KeyedRun<'_>,
+        targets: &mut Vec<attempts::AttemptTarget>,
+    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
+        let turn = self.turn(&run.key);
+        let turn = tokio::time::timeout_at(run.plan.due, turn.lock_owned())
+            .await
+            .map_err(|_| failures::unknown())?;
+        let stream = self.log.stream(&run.key);
+        let outcome = self.first_read(stream, run).await?;
+        let target = (run.next)()?;
+        let record = records::ClaimRecord {
+            key: run.key.clone(),
+            attempt: 0,
+            supersedes: None,
+            request: target.request,
+            agent: target.endpoint.agent,
+            body_hash: body_hash(&run.plan.work),
+            claimed_at: claims::wall_time(),
+        };
+        let (mut attempt, mut action) =
+            claim_attempt::ClaimAttempt::begin(record, outcome.as_ref());
+        targets.push(target);
+        let mut open = None;
+        let mut is_deadline_told = false;
+        loop {
+            if let ClaimAction::Relay(_) = action {
+                return Ok((open.ok_or_else(failures::unknown)?, turn));
+            }
+            if let ClaimAction::Answer(answer) = action {
+                return Err(claim_error(answer));
+            }
+            if run.plan.time_left().is_zero() && !std::mem::replace(&mut is_deadline_told, true) {
+                action = attempt.step(ClaimEvent::DeadlinePassed);
+                continue;
+            }
+            let latest = run.plan.due + GIVE_UP_LIMIT;
+            let step = self.carry_out(&action, stream, run, targets, &mut open);
+            let Ok(event) = tokio::time::timeout_at(latest, step).await else {
+                return Err(failures::unknown());
+            };
+            action = attempt.step(event?);
+        }
+    }
+
+    async fn carry_out(
+        &self,
+        action: &ClaimAction,
+        stream: &claims::ClaimStream,
+        run: &KeyedRun<'_>,
+        targets: &mut Vec<attempts::AttemptTarget>,
+        open: &mut Option<attempts::OpenAttempt>,
+    ) -> Result<ClaimEvent, CallerError> {
+        Ok(match action {
+            ClaimAction::Append(record) => stream.append(record).await,
+            ClaimAction::ReadToEnd => match stream.read(&run.key).await {
+                Ok(outcome) => ClaimEvent::Read(outcome),
+                Err(error) => {
+                    let message = error.to_string();
+                    logs::warn(&self.logger, events::CLAIM_FAILED, &message);
+                    ClaimEvent::LogUnavailable
+                }
+            },
+            ClaimAction::WaitForLog => {
+                tokio::time::sleep(WAIT_INTERVAL).await;
+                ClaimEvent::LogAvailable
+            }
+            ClaimAction::Dispatch(claimed) => {
+                let target = targets
+                    .iter()
+                    .find(|target| target.request == claimed.request);
+                let Some(target) = target.cloned() else {
+                    return Err(failures::unknown());
+                };
+                let (event, attempt) = send(run, target).await;
+                *open = attempt;
+                event
+            }
+            ClaimAction::Attach(claimed) => {
+                let (event, attempt) = attach(run, *claimed).await;
+                *open = attempt;
+                event
+            }
+            ClaimAction::LeaveTombstone(claimed) => cancel(run, *claimed, targets).await?,
+            ClaimAction::Relay(_) | ClaimAction::Answer(_) | ClaimAction::Ignore => {
+                return Err(failures::unknown());
+            }
+        })
+    }
+
+    /// Reads the stream before the first append; retries while the log is down.
+    async fn first_read(
+        &self,
+        stream: &claims::ClaimStream,
+        run: &KeyedRun<'_>,
+    ) -> Result<Option<records::ClaimRecord>, CallerError> {
+        loop {
+            match tokio::time::timeout_at(run.plan.due, stream.read(&run.key)).await {
+                Ok(Ok(outcome)) => return Ok(outcome),
+                Ok(Err(_)) if run.plan.time_left() > WAIT_INTERVAL => {
+                    tokio::time::sleep(WAIT_INTERVAL).await;
+                }
+                _ => return Err(claim_error(claim_attempt::ClaimAnswer::NotRun)),
+            }
+        }
+    }
+
+    fn turn(&self, key: &records::ClaimKey) -> Arc<sync::Mutex<()>> {
+        let mut turns = self.turns.lock();
+        if let Some(turn) = turns.get(key).and_then(Weak::upgrade) {
+            return turn;
+        }
+        turns.retain(|_, turn| turn.strong_count() > 0);
+        let turn = Arc::<sync::Mutex<()>>::default();
+        turns.insert(key.clone(), Arc::downgrade(&turn));
+        turn
+    }
+}
+
+async fn send(
+    run: &KeyedRun<'_>,
+    target: attempts::AttemptTarget,
+) -> (ClaimEvent, Option<attempts::OpenAttempt>) {
+    let Some(connection) = target.channel.connection() else {
+        tokio::time::sleep(WAIT_INTERVAL).await;
+        return (ClaimEvent::AgentUnreachable, None);
+    };
+    if connection.agent != target.endpoint.agent {
+        return (ClaimEvent::IncarnationGone, None);
+    }
+    let attempt = attempts::OpenAttempt::kept(run.context, target.clone());
+    let message = run
+        .plan
+        .dispatch(connection.session, target.endpoint, target.request);
+    let call = service::deadline(CALL_LIMIT);
+    let event = match connection.client.dispatch(call, message).await {
+        Ok(message::DispatchReply::Accepted | message::DispatchReply::AlreadyKnown) => {
+            return (ClaimEvent::Accepted, Some(attempt));
+        }
+        Ok(message::DispatchReply::Refused { reason, .. }) => match reason {
+            message::RefusalReason::Cancelled => ClaimEvent::RefusedCancelled,
+            message::RefusalReason::WrongIncarnation => ClaimEvent::IncarnationGone,
+            _ => ClaimEvent::Refused,
+        },
+        Err(_) => ClaimEvent::DispatchLost,
+    };
+    (event, None)
+}
+
+async fn attach(
+    run: &KeyedRun<'_>,
+    claimed: claim_attempt::ClaimedRequest,
+) -> (ClaimEvent, Option<attempts::OpenAttempt>) {
+    let Some((target, connection)) = locate(run, claimed) else {
+        tokio::time::sleep(WAIT_INTERVAL).await;
+        return (ClaimEvent::AgentUnreachable, None);
+    };
+    let attempt = attempts::OpenAttempt::kept(run.context, target);
+    let call = service::deadline(CALL_LIMIT);
+    let reply = connection
+        .client
+        .attach(call, connection.session, claimed.agent, claimed.request);
+    match reply.await {
+        Ok(message::CancelReply::Running) => (ClaimEvent::Attached, Some(attempt)),
+        Ok(message::CancelReply::NotRun) => (ClaimEvent::NotSeen, None),
+        // An answer that is no longer kept is as lost as one of an earlier incarnation.
+        Ok(message::CancelReply::Finished | message::CancelReply::WrongIncarnation) => {
+            (ClaimEvent::IncarnationGone, None)
+        }
+        Err(_) => (ClaimEvent::AgentUnreachable, None),
+    }
+}
+
+async fn cancel(
+    run: &KeyedRun<'_>,
+    claimed: claim_attempt::ClaimedRequest,
+    targets: &mut Vec<attempts::AttemptTarget>,
+) -> Result<ClaimEvent, CallerError> {
+    let Some((_, connection)) = locate(run, claimed) else {
+        tokio::time::sleep(WAIT_INTERVAL).await;
+        return Ok(ClaimEvent::AgentUnreachable);
+    };
+    let call = service::deadline(CALL_LIMIT);
+    let reply = connection
+        .client
+        .cancel(call, claimed.agent, claimed.request);
+    Ok(match reply.await {
+        Ok(message::CancelReply::NotRun) => {
+            let target = (run.next)()?;
+            let next = claim_attempt::NextAttempt {
+                request: target.request,
+                agent: target.endpoint.agent,
+                claimed_at: claims::wall_time(),
+            };
+            targets.push(target);
+            ClaimEvent::TombstoneLeft { next }
+        }
+        Ok(message::CancelReply::Running | message::CancelReply::Finished) => ClaimEvent::Started,
+        Ok(message::CancelReply::WrongIncarnation) => ClaimEvent::IncarnationGone,
+        Err(_) => ClaimEvent::AgentUnreachable,
+    })
+}
+
+fn locate(
+    run: &KeyedRun<'_>,
+    claimed: claim_attempt::ClaimedRequest,
+) -> Option<(attempts::AttemptTarget, crate::sessions::Connection)> {
+    let channel = run.context.directory.channel(claimed.agent)?;
+    let connection = channel.connection()?;
+    let endpoint = ids::EndpointId {
+        agent: claimed.agent,
+        replica: 0,
+    };
+    let target = attempts::AttemptTarget {
+        request: claimed.request,
+        endpoint,
+        channel,
+    };
+    Some((target, connection))
+}
+
+fn body_hash(work: &message::Work) -> u128 {
+    match work {
+        message::Work::Completion {
+            route,
+            adapter,
+            body,
+            ..
+        } => {
+            let head = format!("{route:?} {adapter} ");
+            xxh3::xxh3_128(&[head.as_bytes(), body].concat())
+        }
+        message::Work::Service {
+            service,
+            method,
+            path,
+            body,
+            ..
+        } => {
+            let head = format!("{method} {service} {path} ");
+            xxh3::xxh3_128(&[head.as_bytes(), body].concat())
+        }
+    }
+}
+
+fn claim_error(answer: claim_attempt::ClaimAnswer) -> CallerError {
+    match answer {
+        claim_attempt::ClaimAnswer::NotRun => {
+            let message = "the key could not be claimed in time; send the request again with it";
+            CallerError::not_run(ErrorCode::LogUnavailable, message)
+                .retry_after(time::Duration::from_secs(1))
+        }
+        claim_attempt::ClaimAnswer::Unknown => CallerError {
+            code: ErrorCode::OutcomeUnknown,
+            outcome: RequestOutcome::Unknown,
+            message: "the request of this key may have run and its answer is lost".into(),
+            retry_after: None,
+        },
+        claim_attempt::ClaimAnswer::KeyReused => {
+            let message = "the key was used with another request; use a new key";
+            CallerError::not_run(ErrorCode::KeyReused, message)
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,12 +2,14 @@
 
 pub mod admissions;
 pub mod attempts;
+pub mod claims;
 pub mod clock;
 pub mod configuration;
 pub mod directory;
 pub mod dispatcher;
 pub mod drain;
 pub mod failures;
+pub mod keyed;
 pub mod metrics;
 pub mod plans;
 pub mod relay;
--- a/crates/entry/src/plans.rs
+++ b/crates/entry/src/plans.rs
@@ -23,6 +23,8 @@
     pub due: tokio::time::Instant,
     /// Whether the work may run more than once.
     pub repeatable: bool,
+    /// Idempotency key, if the request must run at most once for all entries.
+    pub key: Option<String>,
     pub target: PlanTarget,
     pub work: message::Work,
 }
@@ -61,6 +63,7 @@
             prefix: xxh3::xxh3_64(start),
             due: due(settings, &request.options),
             repeatable: true,
+            key: request.options.idempotency_key,
             target: PlanTarget::Adapter {
                 base_model: resolved.base_model.clone(),
                 adapter: resolved.adapter.id(),
@@ -93,6 +96,8 @@
             prefix: 0,
             due: due(settings, &call.options),
             repeatable,
+            // A call that may be repeated needs no claim.
+            key: call.options.idempotency_key.filter(|_| !repeatable),
             target: PlanTarget::Service(call.service.clone()),
             work: message::Work::Service {
                 service: call.service,
@@ -129,8 +134,8 @@
             operator_weight: self.operator_weight,
             prefix: self.prefix,
             time_left: self.time_left(),
-            repeatable: self.repeatable,
-            keep_answer: false,
+            repeatable: self.repeatable && self.key.is_none(),
+            keep_answer: self.key.is_some(),
             work: self.work.clone(),
         }
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,13 +9,15 @@
     follower,
     http::{HttpLimits, PlatformClient},
     instances,
+    log::LogService,
 };
 use snafu::{ResultExt, Snafu};
 use telemetry::{events, logs};
 use tokio::{runtime, task};
 
 use crate::{
-    admissions, clock, configuration, directory, dispatcher, drain, metrics, roster, settings,
+    admissions, claims, clock, configuration, directory, dispatcher, drain, keyed, metrics, roster,
+    settings,
 };
 
 /// Reason why an entry cannot start or stop.
@@ -77,15 +79,18 @@
             Arc::clone(&metrics),
             Box::new(routing),
         ));
-        let follower = settings.log.map(|address| {
+        let log = settings.log.map(|address| {
             let client = PlatformClient::new(address, HttpLimits::default());
+            Arc::new(client) as Arc<dyn LogService>
+        });
+        let follower = log.as_ref().map(|log| {
             let images = configuration::AgentImages(Arc::clone(&directory));
             let options = follower::FollowerSettings {
                 seed: incarnation.0,
                 ..follower::FollowerSettings::default()
             };
             follower::ConfigurationFollower::start(
-                Arc::new(client),
+                Arc::clone(log),
                 Arc::new(images),
                 options,
                 logger.clone(),
@@ -105,6 +110,14 @@
             Arc::new(admissions::AdmissionDesk::new(clock)),
             runtime::Handle::current(),
         );
+        let dispatcher = match &log {
+            Some(log) => {
+                let streams = settings.claim_streams;
+                let claims = claims::ClaimLog::new(log, streams, settings.claim_window, clock);
+                dispatcher.with_keys(keyed::KeyedRequests::new(claims, logger.clone()))
+            }
+            None => dispatcher,
+        };
         let drain = dispatcher.drain();
         let address = settings.listen;
         let callers = routes::CallerServer::start(address, settings.threads, Arc::new(dispatcher))
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 const MAX_THREADS: usize = 64;
+const MAX_CLAIM_STREAMS: u16 = 256;
 const MAX_DRAIN: time::Duration = time::Duration::from_hours(1);
 
 /// Settings of one entry process.
@@ -24,6 +25,13 @@
     /// is taken and runs on `base_model`.
     #[serde(default)]
     pub log: Option<net::SocketAddr>,
+    /// Log streams that hold the claims of idempotency keys; the same in all entries.
+    #[serde(default = "default_claim_streams")]
+    pub claim_streams: u16,
+    /// Time for which an idempotency key is remembered, in seconds; the same in all entries.
+    #[serde_as(as = "serde_with::DurationSeconds<u64>")]
+    #[serde(default = "default_claim_window", rename = "claim_window_seconds")]
+    pub claim_window: time::Duration,
     /// Address of the platform's instance list; without it only `agents` are used.
     #[serde(default)]
     pub instance_list: Option<net::SocketAddr>,
@@ -84,6 +92,14 @@
             "drain_seconds",
             "use at most 3600 s",
         );
+        let streams = (1..=MAX_CLAIM_STREAMS).contains(&self.claim_streams);
+        check(
+            streams,
+            "claim_streams",
+            "use 1 to 256 streams, the same in all entries",
+        );
+        let window = !self.claim_window.is_zero();
+        check(window, "claim_window_seconds", "use at least 1 s");
         let has_agents = !self.agents.is_empty() || self.instance_list.is_some();
         check(
             has_agents,
@@ -107,6 +123,14 @@
     }
 }
 
+fn default_claim_streams() -> u16 {
+    16
+}
+
+fn default_claim_window() -> time::Duration {
+    time::Duration::from_mins(10)
+}
+
 fn default_threads() -> usize {
     2
 }
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -1,5 +1,6 @@
 //! Invariants of the entry against an agent with injected faults.
 
+#[allow(dead_code)]
 mod support;
 
 use std::time;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! Fake agent with injected faults, and a caller.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net,
     sync::{Arc, atomic},
     time,
@@ -21,7 +21,8 @@
 pub const LOOPBACK: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
 
-/// Faults of a fake agent.
+/// Faults of a fake agent, each independent of the others.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     /// The reply to the next dispatch is lost after the request was taken.
@@ -49,8 +50,10 @@
 #[derive(Default)]
 struct FakeState {
     faults: Faults,
-    /// Next part to send by request that runs.
-    streams: BTreeMap<ids::RequestId, usize>,
+    /// Next part to send by request that runs and session that reads it.
+    streams: BTreeMap<(ids::RequestId, ids::SessionId), usize>,
+    sessions: u64,
+    last_adapter: Option<String>,
     tombstones: Vec<ids::RequestId>,
 }
 
@@ -77,12 +80,19 @@
 
     pub fn set_faults(&self, faults: Faults) {
         self.state.lock().faults = faults;
-        self.wake.notify_one();
+        self.wake.notify_waiters();
+    }
+
+    /// Adapter of the completion that was taken last.
+    pub fn last_adapter(&self) -> Option<String> {
+        self.state.lock().last_adapter.clone()
     }
 
     /// Requests that ran.
     pub fn runs(&self) -> usize {
-        self.state.lock().streams.len()
+        let state = self.state.lock();
+        let runs: BTreeSet<_> = state.streams.keys().map(|(request, _)| *request).collect();
+        runs.len()
     }
 
     pub fn dispatches(&self) -> usize {
@@ -134,13 +144,22 @@
         if state.tombstones.contains(&dispatch.request) {
             return refused(message::RefusalReason::Cancelled);
         }
-        state.streams.entry(dispatch.request).or_insert(0);
+        let key = (dispatch.request, dispatch.session);
+        if let message::Work::Completion { adapter, .. } = &dispatch.work {
+            state.last_adapter = Some(adapter.to_string());
+        }
+        state.streams.entry(key).or_insert(0);
         drop(state);
-        self.wake.notify_one();
+        self.wake.notify_waiters();
         message::DispatchReply::Accepted
     }
 
-    fn collect(&self) -> Vec<message::StreamEvent> {
+    fn is_known(&self, request: ids::RequestId) -> bool {
+        let state = self.state.lock();
+        state.streams.keys().any(|(known, _)| *known == request)
+    }
+
+    fn collect(&self, session: ids::SessionId) -> Vec<message::StreamEvent> {
         let mut state = self.state.lock();
         let limit = state
             .faults
@@ -148,7 +167,10 @@
             .unwrap_or(usize::MAX)
             .min(self.parts.len());
         let mut events = Vec::new();
-        for (request, sent) in &mut state.streams {
+        for ((request, reader), sent) in &mut state.streams {
+            if *reader != session {
+                continue;
+            }
             for index in *sent..limit {
                 events.push(message::StreamEvent {
                     request: *request,
@@ -169,21 +191,25 @@
 
     async fn answer_poll(&self, poll: message::Poll) -> message::PollReply {
         for ack in &poll.acks {
-            if let Some(sent) = self.state.lock().streams.get_mut(&ack.request) {
+            if let Some(sent) = self
+                .state
+                .lock()
+                .streams
+                .get_mut(&(ack.request, poll.session))
+            {
                 *sent = usize::try_from(ack.received).unwrap();
             }
         }
         let deadline = tokio::time::Instant::now() + poll.wait;
-        let mut events = self.collect();
-        while events.is_empty() {
-            if tokio::time::timeout_at(deadline, self.wake.notified())
-                .await
-                .is_err()
-            {
-                break;
+        let events = loop {
+            let woken = self.wake.notified();
+            tokio::pin!(woken);
+            woken.as_mut().enable();
+            let events = self.collect(poll.session);
+            if !events.is_empty() || tokio::time::timeout_at(deadline, woken).await.is_err() {
+                break events;
             }
-            events = self.collect();
-        }
+        };
         let is_lost = {
             let faults = &mut self.state.lock().faults;
             !events.is_empty() && std::mem::take(&mut faults.lose_poll)
@@ -201,9 +227,14 @@
 
 impl service::AgentHandler for FakeAgent {
     fn hello(&self, _: message::Hello) -> BoxFuture<'_, message::HelloReply> {
+        let session = {
+            let mut state = self.state.lock();
+            state.sessions += 1;
+            ids::SessionId(state.sessions)
+        };
         let welcome = message::Welcome {
             agent: self.incarnation,
-            session: ids::SessionId(1),
+            session,
             data_centre: "a".into(),
             report: self.report(),
         };
@@ -236,11 +267,19 @@
 
     fn attach(
         &self,
-        _: ids::SessionId,
+        session: ids::SessionId,
         agent: ids::Incarnation,
         request: ids::RequestId,
     ) -> BoxFuture<'_, message::CancelReply> {
-        let is_known = self.state.lock().streams.contains_key(&request);
+        let is_known = self.is_known(request);
+        if is_known {
+            let mut state = self.state.lock();
+            // The protocol moves the stream: the earlier reader gets nothing more.
+            state.streams.retain(|(known, _), _| *known != request);
+            state.streams.insert((request, session), 0);
+            drop(state);
+            self.wake.notify_waiters();
+        }
         let reply = match (agent == self.incarnation, is_known) {
             (false, _) => message::CancelReply::WrongIncarnation,
             (true, true) => message::CancelReply::Running,
@@ -254,10 +293,11 @@
         agent: ids::Incarnation,
         request: ids::RequestId,
     ) -> BoxFuture<'_, message::CancelReply> {
+        let is_known = self.is_known(request);
         let mut state = self.state.lock();
         let reply = if agent != self.incarnation {
             message::CancelReply::WrongIncarnation
-        } else if state.streams.contains_key(&request) {
+        } else if is_known {
             message::CancelReply::Running
         } else {
             state.tombstones.push(request);
@@ -312,11 +352,21 @@
 }
 
 pub async fn start_entry(agents: &[&RunningAgent], drain: time::Duration) -> EntryServer {
+    start_entry_with_log(agents, drain, None).await
+}
+
+pub async fn start_entry_with_log(
+    agents: &[&RunningAgent],
+    drain: time::Duration,
+    log: Option<net::SocketAddr>,
+) -> EntryServer {
     let entry = EntryServer::start(EntrySettings {
         listen: LOOPBACK,
         data_centre: "a".into(),
         threads: 1,
-        log: None,
+        log,
+        claim_streams: 16,
+        claim_window: std::time::Duration::from_mins(10),
         instance_list: None,
         agents: agents.iter().map(|agent| agent.address).collect(),
         base_model: "base".into(),
@@ -345,9 +395,20 @@
 }
 
 pub async fn send(address: net::SocketAddr, method: &str, path: &str, body: &str) -> String {
+    send_with(address, method, path, "", body).await
+}
+
+/// Sends a request with header lines that each end with a line break.
+pub async fn send_with(
+    address: net::SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).await.unwrap();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -50,6 +50,8 @@
         data_centre: "a".into(),
         threads: 1,
         log: None,
+        claim_streams: 16,
+        claim_window: std::time::Duration::from_mins(10),
         instance_list: None,
         agents: vec![agent.address()],
         base_model: "base".into(),
