Cancel the request of a caller that disconnects before the first token

Cause: the HTTP server does not watch a connection while its handler waits, so an agent went on working for a caller that was gone before the first token.

Change: the response of a stream begins after 500 ms at the latest; earlier refusals keep their own status, later ones are an error event. A keep-alive comment every 2 s of silence notices a closed connection. Tests cover hostile input, vanished callers and the settings.

Conclusion: a request without `stream` is still not cancelled when its caller disconnects.

--- a/crates/callers/src/routes.rs
+++ b/crates/callers/src/routes.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, io, net, sync::Arc, thread, time};
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{StreamExt, future, stream};
 use http::{HeaderValue, StatusCode, header};
 use xitca_web::{
     App, WebContext,
@@ -19,10 +19,15 @@
 pub const MAX_BODY_BYTES: usize = 4 << 20;
 /// Longest part of an unknown path that is repeated to the caller, in characters.
 const MAX_SHOWN_PATH: usize = 200;
-/// Silence of a stream after which a comment is sent, below the idle limit of common proxies.
-const KEEP_ALIVE: time::Duration = time::Duration::from_secs(10);
+/// Silence of a stream after which a comment is sent. Proxies close idle streams much later, but a
+/// caller that has disconnected is only noticed when something is written.
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(2);
 const SERVICE_PREFIX: &str = "/services/";
 
+/// Wait for the first part of a stream before its response begins.
+const STATUS_LIMIT: time::Duration = time::Duration::from_millis(500);
+
+type PendingAnswer = future::BoxFuture<'static, Result<handler::AnswerStream, error::CallerError>>;
 type SharedHandler = Arc<dyn handler::RequestHandler>;
 
 /// Running HTTP server.
@@ -116,14 +121,31 @@
     let request = completion::read_completion(kind, options, body)?;
     let renderer = render::CompletionRenderer::new(kind, &request.model);
     let is_stream = request.stream;
-    let parts = context.state().complete(request).await?;
+    let handler = Arc::clone(context.state());
+    let answer = Box::pin(async move { handler.complete(request).await });
     if is_stream {
+        let parts = start_stream(answer).await?;
         return Ok(stream_response(renderer, parts));
     }
-    let body = renderer.collect(parts).await?;
+    let body = renderer.collect(answer.await?).await?;
     Ok(json_response(StatusCode::OK, body))
 }
 
+/// Waits a short time for the first part, so that a refusal gets its own status. After that the
+/// response begins, since only then is a caller that disconnects noticed.
+async fn start_stream(
+    mut answer: PendingAnswer,
+) -> Result<handler::AnswerStream, error::CallerError> {
+    if let Ok(answer) = tokio::time::timeout(STATUS_LIMIT, &mut answer).await {
+        return answer;
+    }
+    let parts = stream::once(answer).flat_map(|answer| match answer {
+        Ok(parts) => parts,
+        Err(error) => stream::once(future::ready(handler::AnswerPart::Failed(error))).boxed(),
+    });
+    Ok(parts.boxed())
+}
+
 async fn call_service(context: &WebContext<'_, SharedHandler>) -> WebResponse {
     match try_service(context).await {
         Ok(response) => response,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -44,7 +44,8 @@
     parts: Vec<message::StreamPart>,
     state: Mutex<FakeState>,
     wake: sync::Notify,
-    pub dispatches: atomic::AtomicUsize,
+    dispatches: atomic::AtomicUsize,
+    cancels: atomic::AtomicUsize,
 }
 
 #[derive(Default)]
@@ -75,6 +76,7 @@
             state: Mutex::new(state),
             wake: sync::Notify::new(),
             dispatches: atomic::AtomicUsize::new(0),
+            cancels: atomic::AtomicUsize::new(0),
         })
     }
 
@@ -99,6 +101,10 @@
         self.dispatches.load(atomic::Ordering::SeqCst)
     }
 
+    pub fn cancels(&self) -> usize {
+        self.cancels.load(atomic::Ordering::SeqCst)
+    }
+
     pub async fn start(self: Arc<Self>, address: net::SocketAddr) -> RunningAgent {
         let listener = service::AgentListener::bind(address).await.unwrap();
         let address = listener.address();
@@ -293,6 +299,7 @@
         agent: ids::Incarnation,
         request: ids::RequestId,
     ) -> BoxFuture<'_, message::CancelReply> {
+        self.cancels.fetch_add(1, atomic::Ordering::SeqCst);
         let is_known = self.is_known(request);
         let mut state = self.state.lock();
         let reply = if agent != self.incarnation {
@@ -425,3 +432,16 @@
 pub async fn order(address: net::SocketAddr) -> String {
     send(address, "POST", "/services/orders/new", "one coffee").await
 }
+
+/// Sends a body that the entry may stop reading before its end.
+pub async fn try_send(address: net::SocketAddr, path: &str, body: &str) -> String {
+    let (mut reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
+    let length = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n");
+    let request = [head.as_bytes(), body.as_bytes()].concat();
+    let sending = tokio::spawn(async move { writer.write_all(&request).await });
+    let mut response = vec![0; 4096];
+    let length = reader.read(&mut response).await.unwrap();
+    sending.abort();
+    String::from_utf8_lossy(&response[..length]).into_owned()
+}
