Wait for a restarted agent, and make two fault tests sensitive

Cause: a completion lost with its agent was answered `unknown` when its retry ran between the end of the old streams and the opening of the new session.

Change: after a lost agent the request waits up to 2 s for another endpoint within its deadline. The fake agent sends the reversed parts first, and the preferred agent is the one that leaves.

--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -3,9 +3,12 @@
 //! A request is sent again only when the earlier attempt did not run and never will, or when it may
 //! be repeated and no part of its answer has reached the caller.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
 };
 
 use callers::{
@@ -24,6 +27,11 @@
     settings,
 };
 
+/// Waits for another endpoint after an agent was lost; a restarted agent is connected again within
+/// 2 s.
+const MAX_WAITS: u32 = 40;
+const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
 /// Dispatcher of one entry.
 pub struct RequestDispatcher {
     settings: settings::EntrySettings,
@@ -123,10 +131,22 @@
         self.retries.lock().first_attempt();
         let mut tried = Vec::new();
         let mut last: Option<Setback> = None;
+        let mut waits = 0;
         loop {
             let (target, waiting) = match self.choose(plan, &tried) {
                 Ok(chosen) => chosen,
-                Err(error) => return Err(last.map_or(error, |setback| setback.error)),
+                Err(error) => {
+                    let is_lost = last
+                        .as_ref()
+                        .is_some_and(|setback| setback.knowledge == retries::RunKnowledge::Unknown);
+                    let is_waiting = is_lost && waits < MAX_WAITS && !plan.time_left().is_zero();
+                    if !is_waiting || self.drain.is_draining() {
+                        return Err(last.map_or(error, |setback| setback.error));
+                    }
+                    waits += 1;
+                    tokio::time::sleep(WAIT_INTERVAL).await;
+                    continue;
+                }
             };
             tried.push(target.endpoint);
             let setback = match self.attempt(plan, target, waiting).await {
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -176,7 +176,13 @@
         .start(LOOPBACK)
         .await;
     let entry = support::start_entry(&[&one, &other], DRAIN).await;
-    one.agent.set_faults(Faults {
+    // The policy prefers one agent for this adapter; that one leaves.
+    support::complete(entry.address()).await;
+    let (leaving, staying) = match one.agent.dispatches() {
+        1 => (&one.agent, &other.agent),
+        _ => (&other.agent, &one.agent),
+    };
+    leaving.set_faults(Faults {
         leaving: true,
         ..Faults::default()
     });
@@ -189,8 +195,8 @@
         let response = support::complete(entry.address()).await;
         assert!(response.contains("\"one two three\""), "{response}");
     }
-    assert_eq!(one.agent.dispatches(), 0);
-    assert_eq!(other.agent.dispatches(), 20);
+    assert_eq!(leaving.dispatches(), 1);
+    assert_eq!(staying.dispatches(), 20);
     entry.close().await.unwrap();
 }
 
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -187,10 +187,8 @@
             *sent = limit.max(*sent);
         }
         if state.faults.mangle {
-            let mut doubled = events.clone();
-            doubled.extend(events.iter().rev().cloned());
-            doubled.reverse();
-            return doubled;
+            let reversed = events.iter().rev().cloned();
+            return reversed.chain(events.iter().cloned()).collect();
         }
         events
     }
