--- a/crates/callers/src/routes.rs
+++ b/crates/callers/src/routes.rs
@@ -1,9 +1,9 @@
 //! HTTP routes served with `xitca-web`.
 
-use std::{convert::Infallible, io, net, sync::Arc, thread};
+use std::{convert::Infallible, io, net, sync::Arc, thread, time};
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{StreamExt, future, stream};
 use http::{HeaderValue, StatusCode, header};
 use xitca_web::{
     App, WebContext,
@@ -17,8 +17,17 @@
 
 /// Largest request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
+/// Longest part of an unknown path that is repeated to the caller, in characters.
+const MAX_SHOWN_PATH: usize = 200;
+/// Silence of a stream after which a comment is sent. Proxies close idle streams much later, but a
+/// caller that has disconnected is only noticed when something is written.
+const KEEP_ALIVE: time::Duration = time::Duration::from_secs(2);
 const SERVICE_PREFIX: &str = "/services/";
 
+/// Wait for the first part of a stream before its response begins.
+const STATUS_LIMIT: time::Duration = time::Duration::from_millis(500);
+
+type PendingAnswer = future::BoxFuture<'static, Result<handler::AnswerStream, error::CallerError>>;
 type SharedHandler = Arc<dyn handler::RequestHandler>;
 
 /// Running HTTP server.
@@ -47,7 +56,8 @@
             .with_state(handler)
             .at("/v1/completions", route::post(handler_service(complete)))
             .at("/v1/chat/completions", route::post(handler_service(chat)))
-            .at("/services/*path", handler_service(call_service))
+            .at("/services/{*path}", handler_service(call_service))
+            .at("/{*path}", handler_service(unknown_path))
             .at("/healthz", route::get(handler_service(health)))
             .at("/readyz", route::get(handler_service(ready)))
             .at("/metrics", route::get(handler_service(metrics)))
@@ -114,14 +124,31 @@
     let request = completion::read_completion(kind, options, body)?;
     let renderer = render::CompletionRenderer::new(kind, &request.model);
     let is_stream = request.stream;
-    let parts = context.state().complete(request).await?;
+    let handler = Arc::clone(context.state());
+    let answer = Box::pin(async move { handler.complete(request).await });
     if is_stream {
+        let parts = start_stream(answer).await?;
         return Ok(stream_response(renderer, parts));
     }
-    let body = renderer.collect(parts).await?;
+    let body = renderer.collect(answer.await?).await?;
     Ok(json_response(StatusCode::OK, body))
 }
 
+/// Waits a short time for the first part, so that a refusal gets its own status. After that the
+/// response begins, since only then is a caller that disconnects noticed.
+async fn start_stream(
+    mut answer: PendingAnswer,
+) -> Result<handler::AnswerStream, error::CallerError> {
+    if let Ok(answer) = tokio::time::timeout(STATUS_LIMIT, &mut answer).await {
+        return answer;
+    }
+    let parts = stream::once(answer).flat_map(|answer| match answer {
+        Ok(parts) => parts,
+        Err(error) => stream::once(future::ready(handler::AnswerPart::Failed(error))).boxed(),
+    });
+    Ok(parts.boxed())
+}
+
 async fn call_service(context: &WebContext<'_, SharedHandler>) -> WebResponse {
     match try_service(context).await {
         Ok(response) => response,
@@ -163,6 +190,21 @@
     response
 }
 
+async fn unknown_path(context: &WebContext<'_, SharedHandler>) -> WebResponse {
+    let path: String = context
+        .req()
+        .uri()
+        .path()
+        .chars()
+        .take(MAX_SHOWN_PATH)
+        .collect();
+    let message = format!("no route `{path}`; see the README for the routes");
+    error_response(&error::CallerError::not_run(
+        error::ErrorCode::UnknownRoute,
+        message,
+    ))
+}
+
 async fn health(_: &WebContext<'_, SharedHandler>) -> WebResponse {
     text_response(StatusCode::OK, "alive\n".into())
 }
@@ -200,7 +242,8 @@
     renderer: render::CompletionRenderer,
     parts: handler::AnswerStream,
 ) -> WebResponse {
-    let events = parts.map(move |part| Ok::<_, Infallible>(renderer.event(&part)));
+    let events = render::keep_alive(parts.map(move |part| renderer.event(&part)), KEEP_ALIVE);
+    let events = events.map(Ok::<_, Infallible>);
     let body = BoxBody::new(StreamDataBody::new(events));
     let mut response = WebResponse::new(ResponseBody::boxed(body));
     let headers = response.headers_mut();
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,342 @@
+//! Agents known to an entry, and the choice among their endpoints.
+
+use std::{
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
+};
+
+use decisions::{ids, membership, routing, units};
+use futures::future;
+use operators::snapshot;
+use parking_lot::Mutex;
+use peers::{message, service};
+use serde::Serialize;
+
+use crate::{clock, metrics, sessions};
+
+/// Delay assumed to agents of the same data centre and of others.
+const NEAR_DELAY: time::Duration = time::Duration::from_micros(100);
+const IMAGE_LIMIT: time::Duration = time::Duration::from_secs(2);
+const FAR_DELAY: time::Duration = time::Duration::from_micros(750);
+
+/// Directory of the agent incarnations that answered `hello`.
+pub struct AgentDirectory {
+    data_centre: String,
+    clock: clock::EntryClock,
+    metrics: Arc<metrics::EntryMetrics>,
+    /// Sorted by incarnation.
+    agents: Mutex<Vec<KnownAgent>>,
+    routing: Mutex<Box<dyn routing::RoutingPolicy>>,
+    members: Mutex<membership::MembershipTable>,
+    version: AtomicU64,
+}
+
+struct KnownAgent {
+    agent: ids::Incarnation,
+    channel: Arc<sessions::AgentChannel>,
+    report: message::LoadReport,
+    is_connected: bool,
+}
+
+/// Endpoint chosen for an attempt.
+pub struct ChosenEndpoint {
+    pub choice: routing::Choice,
+    pub channel: Arc<sessions::AgentChannel>,
+}
+
+/// State of one agent, for `status`.
+#[derive(Debug, Serialize)]
+pub struct AgentStatus {
+    pub address: net::SocketAddr,
+    pub incarnation: String,
+    pub connected: bool,
+    pub leaving: bool,
+    pub replicas: usize,
+    /// Predicted wait by priority from low to high, of the replica with the shortest one.
+    pub wait_millis: [u32; 3],
+}
+
+impl AgentDirectory {
+    /// Creates a directory without agents.
+    #[must_use]
+    pub fn new(
+        data_centre: &str,
+        clock: clock::EntryClock,
+        metrics: Arc<metrics::EntryMetrics>,
+        routing: Box<dyn routing::RoutingPolicy>,
+    ) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            clock,
+            metrics,
+            agents: Mutex::default(),
+            routing: Mutex::new(routing),
+            members: Mutex::default(),
+            version: AtomicU64::new(0),
+        }
+    }
+
+    /// Chooses an endpoint.
+    ///
+    /// # Errors
+    /// [`routing::Refusal`] when no endpoint may take the request.
+    pub fn choose(
+        &self,
+        request: &routing::RoutingRequest<'_>,
+    ) -> Result<ChosenEndpoint, routing::Refusal> {
+        let now = self.clock.now();
+        let mut exclude = request.exclude.to_vec();
+        // Each round excludes one more endpoint that the policy does not know to be leaving yet.
+        loop {
+            let wanted = routing::RoutingRequest {
+                exclude: &exclude,
+                ..*request
+            };
+            let choice = self.routing.lock().choose(&wanted, now)?;
+            let agent = choice.endpoint.agent;
+            let channel = self.channel(agent);
+            let channel = channel.filter(|channel| self.takes_work(channel.address(), agent));
+            if let Some(channel) = channel {
+                return Ok(ChosenEndpoint { choice, channel });
+            }
+            exclude.push(choice.endpoint);
+        }
+    }
+
+    /// Takes over the instance list and returns the changes.
+    pub fn listed(&self, list: &[membership::ListedInstance]) -> Vec<membership::MemberChange> {
+        let now = self.clock.now();
+        let mut members = self.members.lock();
+        members.listed(list, now);
+        members.changes(now)
+    }
+
+    /// Newest configuration image of the connected agents.
+    pub async fn image(&self, known_version: u64) -> Option<snapshot::ImageParts> {
+        let channels: Vec<_> = {
+            let agents = self.agents.lock();
+            let channels = agents.iter().map(|known| Arc::clone(&known.channel));
+            channels.collect()
+        };
+        let calls = channels.iter().filter_map(|channel| {
+            let client = channel.connection()?.client;
+            Some(async move {
+                let call = service::deadline(IMAGE_LIMIT);
+                client.configuration(call, known_version).await.ok()?
+            })
+        });
+        let images = future::join_all(calls).await;
+        let newest = images
+            .into_iter()
+            .flatten()
+            .max_by_key(|image| image.version)?;
+        Some(snapshot::ImageParts {
+            version: newest.version,
+            as_of: newest.as_of,
+            state: newest.state,
+        })
+    }
+
+    /// Records the configuration version, which polls tell the agents.
+    pub fn set_version(&self, version: u64) {
+        self.version.store(version, Ordering::Relaxed);
+    }
+
+    /// Channel of an incarnation.
+    #[must_use]
+    pub fn channel(&self, agent: ids::Incarnation) -> Option<Arc<sessions::AgentChannel>> {
+        let agents = self.agents.lock();
+        let position = position(&agents, agent).ok()?;
+        Some(Arc::clone(&agents[position].channel))
+    }
+
+    fn takes_work(&self, address: net::SocketAddr, agent: ids::Incarnation) -> bool {
+        let now = self.clock.now();
+        self.members.lock().takes_work(address, agent, now)
+    }
+
+    /// Channel of a connected agent that offers a plain service.
+    #[must_use]
+    pub fn choose_service(
+        &self,
+        service: &str,
+        exclude: &[ids::Incarnation],
+    ) -> Option<(ids::Incarnation, Arc<sessions::AgentChannel>)> {
+        let agents = self.agents.lock();
+        let mut offering = agents.iter().filter(|known| {
+            known.is_connected
+                && !known.report.leaving
+                && !exclude.contains(&known.agent)
+                && self.takes_work(known.channel.address(), known.agent)
+                && known.report.services.iter().any(|name| name == service)
+        });
+        let known = offering.next()?;
+        Some((known.agent, Arc::clone(&known.channel)))
+    }
+
+    /// Runs a change of the routing policy at the current time.
+    pub fn observe(&self, change: impl FnOnce(&mut dyn routing::RoutingPolicy, units::Timestamp)) {
+        let now = self.clock.now();
+        change(self.routing.lock().as_mut(), now);
+    }
+
+    /// Whether an agent is connected that takes work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let agents = self.agents.lock();
+        let mut agents = agents.iter();
+        agents.any(|known| self.takes_work(known.channel.address(), known.agent))
+    }
+
+    /// State of all agents.
+    #[must_use]
+    pub fn status(&self) -> Vec<AgentStatus> {
+        let agents = self.agents.lock();
+        let status = agents.iter().map(|known| AgentStatus {
+            address: known.channel.address(),
+            incarnation: known.agent.to_string(),
+            connected: known.is_connected,
+            leaving: known.report.leaving,
+            replicas: known.report.replicas.len(),
+            wait_millis: shortest_wait(&known.report),
+        });
+        status.collect()
+    }
+
+    fn report(&self, agent: ids::Incarnation, report: &message::LoadReport, is_connected: bool) {
+        let now = self.clock.now();
+        let mut routing = self.routing.lock();
+        for replica in &report.replicas {
+            let endpoint = endpoint(agent, replica.replica);
+            routing.report(endpoint, &view(report, replica, is_connected, now), now);
+            if report.leaving {
+                routing.endpoint_leaving(endpoint, now);
+            }
+        }
+    }
+}
+
+impl sessions::ChannelObserver for AgentDirectory {
+    fn opened(&self, channel: &Arc<sessions::AgentChannel>, welcome: &message::Welcome) {
+        let known = KnownAgent {
+            agent: welcome.agent,
+            channel: Arc::clone(channel),
+            report: welcome.report.clone(),
+            is_connected: true,
+        };
+        let mut agents = self.agents.lock();
+        match position(&agents, welcome.agent) {
+            Ok(position) => agents[position] = known,
+            Err(position) => agents.insert(position, known),
+        }
+        drop(agents);
+        let now = self.clock.now();
+        self.members
+            .lock()
+            .greeted(channel.address(), welcome.agent, now);
+        self.metrics.sessions(1);
+        let distance = if welcome.data_centre == self.data_centre {
+            NEAR_DELAY
+        } else {
+            FAR_DELAY
+        };
+        for replica in &welcome.report.replicas {
+            let endpoint = endpoint(welcome.agent, replica.replica);
+            let place = routing::EndpointPlace { endpoint, distance };
+            self.observe(|routing, now| routing.endpoint_added(&place, now));
+        }
+        self.report(welcome.agent, &welcome.report, true);
+    }
+
+    fn reported(
+        &self,
+        address: net::SocketAddr,
+        agent: ids::Incarnation,
+        report: &message::LoadReport,
+    ) {
+        let mut agents = self.agents.lock();
+        if let Ok(position) = position(&agents, agent) {
+            agents[position].report = report.clone();
+        }
+        drop(agents);
+        if report.leaving {
+            let now = self.clock.now();
+            self.members.lock().reported_leaving(address, agent, now);
+        }
+        self.report(agent, report, true);
+    }
+
+    fn disconnected(&self, address: net::SocketAddr) {
+        let mut agents = self.agents.lock();
+        let mut lost = Vec::new();
+        for known in agents.iter_mut() {
+            if known.channel.address() == address && known.is_connected {
+                known.is_connected = false;
+                lost.push((known.agent, known.report.clone()));
+            }
+        }
+        drop(agents);
+        self.members.lock().disconnected(address, self.clock.now());
+        for (agent, report) in lost {
+            self.metrics.sessions(-1);
+            self.report(agent, &report, false);
+        }
+    }
+
+    fn replaced(&self, agent: ids::Incarnation) {
+        let mut agents = self.agents.lock();
+        let Ok(position) = position(&agents, agent) else {
+            return;
+        };
+        let known = agents.remove(position);
+        drop(agents);
+        for replica in &known.report.replicas {
+            let endpoint = endpoint(agent, replica.replica);
+            self.observe(|routing, now| routing.endpoint_removed(endpoint, now));
+        }
+    }
+
+    fn configuration_version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+}
+
+fn position(agents: &[KnownAgent], agent: ids::Incarnation) -> Result<usize, usize> {
+    agents.binary_search_by_key(&agent, |known| known.agent)
+}
+
+fn endpoint(agent: ids::Incarnation, replica: u16) -> ids::EndpointId {
+    ids::EndpointId { agent, replica }
+}
+
+fn view(
+    report: &message::LoadReport,
+    replica: &message::ReplicaReport,
+    is_connected: bool,
+    now: units::Timestamp,
+) -> routing::EndpointView {
+    routing::EndpointView {
+        as_of: now,
+        base_model: replica.base_model.clone(),
+        ready: replica.ready && is_connected,
+        leaving: report.leaving,
+        adapter_slots: replica.adapter_slots,
+        batch_limit: replica.batch_limit,
+        running: replica.running,
+        queued: replica.queued,
+        wait: time::Duration::from_millis(replica.wait_millis[1].into()),
+        loaded: replica.adapters.clone(),
+        loading: replica.loading.clone(),
+    }
+}
+
+fn shortest_wait(report: &message::LoadReport) -> [u32; 3] {
+    let waits = report.replicas.iter().map(|replica| replica.wait_millis);
+    let shortest =
+        waits.reduce(|one, other| std::array::from_fn(|index| one[index].min(other[index])));
+    shortest.unwrap_or_default()
+}
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -1,4 +1,7 @@
-//! Dispatch of requests to agents and relay of their answers.
+//! Admission of requests, attempts at them and relay of their answers.
+//!
+//! A request is sent again only when the earlier attempt did not run and never will, or when it may
+//! be repeated and no part of its answer has reached the caller.
 
 use std::{
     sync::{
@@ -10,110 +13,301 @@
 
 use callers::{
     completion,
-    error::{CallerError, ErrorCode, RequestOutcome},
+    error::{CallerError, ErrorCode},
     handler::{self, AnswerPart},
 };
-use decisions::ids;
+use decisions::{claims, ids, retries, routing, units};
 use futures::{StreamExt, future, stream};
-use peers::{message, service};
+use parking_lot::Mutex;
+use peers::message;
 use tokio::runtime;
 
-use crate::{relay, sessions, settings};
+use crate::{
+    admissions, attempts, configuration, directory, drain, failures, keyed, metrics, plans,
+    settings,
+};
 
-const DISPATCH_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// Waits for another endpoint after an agent was lost; a restarted agent is connected again within
+/// 2 s.
+const MAX_WAITS: u32 = 40;
+const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 /// Dispatcher of one entry.
 pub struct RequestDispatcher {
     settings: settings::EntrySettings,
     incarnation: ids::Incarnation,
     sequence: AtomicU64,
-    channels: Vec<Arc<sessions::AgentChannel>>,
-    runtime: runtime::Handle,
+    context: attempts::AttemptContext,
+    retries: Mutex<retries::RetryPolicy>,
+    configuration: Arc<configuration::ConfigurationView>,
+    drain: Arc<drain::DrainState>,
+    desk: Arc<admissions::AdmissionDesk>,
+    keyed: Option<Arc<keyed::KeyedRequests>>,
+}
+
+/// Attempt whose first part has arrived.
+struct StartedAnswer {
+    attempt: attempts::OpenAttempt,
+    first: message::StreamPart,
+    /// Keeps other callers of the same key waiting.
+    turn: Option<keyed::KeyTurn>,
+}
+
+/// Why an attempt is followed by another one.
+struct Setback {
+    reason: retries::RetryReason,
+    knowledge: retries::RunKnowledge,
+    error: CallerError,
 }
 
 impl RequestDispatcher {
-    /// Creates a dispatcher over the channels to all agents.
+    /// Creates a dispatcher over the agents of a directory.
     #[must_use]
     pub fn new(
         settings: settings::EntrySettings,
         incarnation: ids::Incarnation,
-        channels: Vec<Arc<sessions::AgentChannel>>,
+        directory: Arc<directory::AgentDirectory>,
+        metrics: Arc<metrics::EntryMetrics>,
+        configuration: Arc<configuration::ConfigurationView>,
+        desk: Arc<admissions::AdmissionDesk>,
         runtime: runtime::Handle,
     ) -> Self {
         Self {
             settings,
             incarnation,
             sequence: AtomicU64::new(0),
-            channels,
-            runtime,
+            context: attempts::AttemptContext {
+                directory,
+                metrics,
+                runtime,
+            },
+            retries: Mutex::new(retries::RetryPolicy::new(units::Timestamp(0))),
+            configuration,
+            drain: Arc::default(),
+            desk,
+            keyed: None,
         }
     }
 
-    async fn dispatch_completion(
+    /// Accepts idempotency keys.
+    #[must_use]
+    pub fn with_keys(mut self, keyed: keyed::KeyedRequests) -> Self {
+        self.keyed = Some(Arc::new(keyed));
+        self
+    }
+
+    /// State that a shutdown waits for.
+    #[must_use]
+    pub fn drain(&self) -> Arc<drain::DrainState> {
+        Arc::clone(&self.drain)
+    }
+
+    async fn complete_request(
         &self,
-        completion: completion::CompletionRequest,
+        request: completion::CompletionRequest,
     ) -> Result<handler::AnswerStream, CallerError> {
-        let adapter = resolve(&completion.model)?;
-        let channel = self.choose()?;
-        let Some(connection) = channel.connection() else {
-            return Err(no_endpoint());
-        };
-        let request = self.next_request();
-        let reader = channel.streams.open(request);
-        let guard = StreamGuard {
-            request,
-            channel: Arc::clone(&channel),
-            runtime: self.runtime.clone(),
-            ended: false,
-        };
-        let route = match completion.kind {
-            completion::CompletionKind::Completion => message::CompletionRoute::Completions,
-            completion::CompletionKind::Chat => message::CompletionRoute::ChatCompletions,
-        };
-        let options = completion.options;
-        let dispatch = message::Dispatch {
-            session: connection.session,
-            agent: connection.agent,
-            request,
-            replica: 0,
-            priority: options.priority.unwrap_or_default(),
-            operator: String::new(),
-            operator_weight: 1,
-            prefix: 0,
-            time_left: options.deadline.unwrap_or(self.settings.default_deadline),
-            repeatable: true,
-            keep_answer: false,
-            work: message::Work::Completion {
-                route,
-                base_model: self.settings.base_model.clone(),
-                adapter,
-                body: completion.body,
+        let open = self.drain.enter()?;
+        let plan = plans::RequestPlan::completion(&self.settings, &self.configuration, request)?;
+        let answer = self.run(&plan).await?;
+        Ok(self.relay(answer, open))
+    }
+
+    async fn run_service(
+        &self,
+        call: handler::ServiceCall,
+    ) -> Result<handler::AnswerStream, CallerError> {
+        let open = self.drain.enter()?;
+        let plan = plans::RequestPlan::service(&self.settings, &self.configuration, call)?;
+        let answer = self.run(&plan).await?;
+        Ok(self.relay(answer, open))
+    }
+
+    /// Makes attempts until one has a first part.
+    async fn run(&self, plan: &plans::RequestPlan) -> Result<StartedAnswer, CallerError> {
+        self.context.metrics.requested();
+        if let Some(key) = &plan.key {
+            return self.run_keyed(plan, key).await;
+        }
+        self.retries.lock().first_attempt();
+        let mut tried = Vec::new();
+        let mut last: Option<Setback> = None;
+        let mut waits = 0;
+        loop {
+            let (target, waiting) = match self.choose(plan, &tried) {
+                Ok(chosen) => chosen,
+                Err(error) => {
+                    let is_lost = last
+                        .as_ref()
+                        .is_some_and(|setback| setback.knowledge == retries::RunKnowledge::Unknown);
+                    let is_waiting = is_lost && waits < MAX_WAITS && !plan.time_left().is_zero();
+                    if !is_waiting || self.drain.is_draining() {
+                        return Err(last.map_or(error, |setback| setback.error));
+                    }
+                    waits += 1;
+                    tokio::time::sleep(WAIT_INTERVAL).await;
+                    continue;
+                }
+            };
+            tried.push(target.endpoint);
+            let setback = match self.attempt(plan, target, waiting).await {
+                Ok(answer) => return Ok(answer),
+                Err(setback) => setback,
+            };
+            let failed = retries::FailedAttempt {
+                reason: setback.reason,
+                knowledge: setback.knowledge,
+                repeatable: plan.repeatable,
+                answer_started: false,
+                attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+                time_left: plan.time_left(),
+            };
+            if self.retries.lock().retry(&failed).is_err() {
+                return Err(setback.error);
+            }
+            self.context.metrics.retried(setback.reason);
+            last = Some(setback);
+        }
+    }
+
+    async fn run_keyed(
+        &self,
+        plan: &plans::RequestPlan,
+        key: &str,
+    ) -> Result<StartedAnswer, CallerError> {
+        let keyed = self.keyed.as_ref().ok_or_else(failures::no_log)?;
+        let next = || self.choose(plan, &[]).map(|(target, _)| target);
+        let run = keyed::KeyedRun {
+            context: &self.context,
+            plan,
+            key: claims::ClaimKey {
+                operator: plan.operator.clone(),
+                key: key.to_owned(),
             },
+            next: &next,
         };
-        let call = service::deadline(DISPATCH_LIMIT);
-        match connection.client.dispatch(call, dispatch).await {
-            Ok(message::DispatchReply::Accepted | message::DispatchReply::AlreadyKnown) => {
-                Ok(answer(reader, guard))
+        let (mut attempt, turn) = keyed.run(&run).await?;
+        let first = attempt.next().await;
+        if let message::StreamPart::Failed(failure) = &first {
+            return Err(failures::stream_error(failure));
+        }
+        Ok(StartedAnswer {
+            attempt,
+            first,
+            turn: Some(turn),
+        })
+    }
+
+    async fn attempt(
+        &self,
+        plan: &plans::RequestPlan,
+        target: attempts::AttemptTarget,
+        waiting: Option<admissions::WaitingEntry>,
+    ) -> Result<StartedAnswer, Setback> {
+        match attempts::dispatch(&self.context, target, plan).await {
+            attempts::DispatchEnd::Open(mut attempt) => {
+                let first = attempt.next().await;
+                if let message::StreamPart::Failed(failure) = &first {
+                    return Err(Setback {
+                        reason: retries::RetryReason::EndpointFailed,
+                        knowledge: failures::knowledge(failure),
+                        error: failures::stream_error(failure),
+                    });
+                }
+                if let Some(waiting) = waiting {
+                    waiting.answered(!plan.time_left().is_zero());
+                }
+                Ok(StartedAnswer {
+                    attempt,
+                    first,
+                    turn: None,
+                })
             }
-            Ok(message::DispatchReply::Refused {
-                reason,
-                retry_after,
-            }) => Err(refused(reason).retry_after(retry_after)),
-            Err(error) => Err(CallerError {
-                code: ErrorCode::OutcomeUnknown,
-                outcome: RequestOutcome::Unknown,
-                message: format!("the agent did not answer: {error}"),
-                retry_after: None,
+            attempts::DispatchEnd::NotRun(reason) => Err(Setback {
+                reason: failures::retry_reason(reason),
+                knowledge: retries::RunKnowledge::NotRun,
+                error: failures::not_run(reason),
+            }),
+            attempts::DispatchEnd::Unknown => Err(Setback {
+                reason: retries::RetryReason::EndpointLost,
+                knowledge: retries::RunKnowledge::Unknown,
+                error: failures::unknown(),
             }),
         }
     }
 
-    fn choose(&self) -> Result<Arc<sessions::AgentChannel>, CallerError> {
-        let start = usize::try_from(self.sequence.load(Ordering::Relaxed)).unwrap_or(0);
-        let count = self.channels.len();
-        let candidates = (0..count).map(|step| &self.channels[(start + step) % count]);
-        let mut connected = candidates.filter(|channel| channel.connection().is_some());
-        connected.next().map(Arc::clone).ok_or_else(no_endpoint)
+    fn choose(
+        &self,
+        plan: &plans::RequestPlan,
+        tried: &[ids::EndpointId],
+    ) -> Result<(attempts::AttemptTarget, Option<admissions::WaitingEntry>), CallerError> {
+        let directory = &self.context.directory;
+        let request = self.next_request();
+        match &plan.target {
+            plans::PlanTarget::Adapter {
+                base_model,
+                adapter,
+            } => {
+                let wanted = routing::RoutingRequest {
+                    base_model,
+                    adapter: *adapter,
+                    repeatable: plan.repeatable,
+                    exclude: tried,
+                };
+                let chosen = directory.choose(&wanted).map_err(failures::refused)?;
+                let choice = chosen.choice;
+                if tried.is_empty() {
+                    self.desk.admit(plan, &choice)?;
+                }
+                let waiting = self.desk.wait(plan, request, *adapter, &choice);
+                directory.observe(|routing, now| {
+                    routing.dispatched(request, *adapter, &choice, now);
+                });
+                let target = attempts::AttemptTarget {
+                    request,
+                    endpoint: choice.endpoint,
+                    channel: chosen.channel,
+                };
+                Ok((target, Some(waiting)))
+            }
+            plans::PlanTarget::Service(service) => {
+                let exclude: Vec<_> = tried.iter().map(|endpoint| endpoint.agent).collect();
+                let Some((agent, channel)) = directory.choose_service(service, &exclude) else {
+                    let message = format!("no agent offers the service `{service}`");
+                    return Err(CallerError::not_run(ErrorCode::UnknownService, message));
+                };
+                let endpoint = ids::EndpointId { agent, replica: 0 };
+                let target = attempts::AttemptTarget {
+                    request,
+                    endpoint,
+                    channel,
+                };
+                Ok((target, None))
+            }
+        }
+    }
+
+    fn relay(&self, answer: StartedAnswer, open: drain::OpenRequest) -> handler::AnswerStream {
+        let metrics = Arc::clone(&self.context.metrics);
+        let state = Some((Some(answer.first), answer.attempt, (open, answer.turn)));
+        stream::unfold(state, move |state| {
+            let metrics = Arc::clone(&metrics);
+            async move {
+                let (first, mut attempt, open) = state?;
+                let part = match first {
+                    Some(part) => part,
+                    None => attempt.next().await,
+                };
+                let part = answer_part(part);
+                let outcome = match &part {
+                    AnswerPart::Finished { .. } => "finished",
+                    AnswerPart::Failed(_) => "failed",
+                    _ => return Some((part, Some((None, attempt, open)))),
+                };
+                metrics.ended(outcome);
+                Some((part, None))
+            }
+        })
+        .boxed()
     }
 
     fn next_request(&self) -> ids::RequestId {
@@ -122,6 +316,13 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         }
     }
+
+    fn count_refusal<T>(&self, answer: Result<T, CallerError>) -> Result<T, CallerError> {
+        if let Err(error) = &answer {
+            self.context.metrics.refused(error);
+        }
+        answer
+    }
 }
 
 impl handler::RequestHandler for RequestDispatcher {
@@ -129,74 +330,40 @@
         &self,
         request: completion::CompletionRequest,
     ) -> future::BoxFuture<'_, Result<handler::AnswerStream, CallerError>> {
-        Box::pin(self.dispatch_completion(request))
+        Box::pin(async { self.count_refusal(self.complete_request(request).await) })
     }
 
     fn call_service(
         &self,
         call: handler::ServiceCall,
     ) -> future::BoxFuture<'_, Result<handler::AnswerStream, CallerError>> {
-        let message = format!("no service `{}`; publish it first", call.service);
-        let error = CallerError::not_run(ErrorCode::UnknownService, message);
-        Box::pin(future::ready(Err(error)))
+        Box::pin(async { self.count_refusal(self.run_service(call).await) })
     }
 
     fn is_ready(&self) -> bool {
-        let mut channels = self.channels.iter();
-        channels.any(|channel| channel.connection().is_some())
+        !self.drain.is_draining()
+            && self.configuration.is_ready()
+            && self.context.directory.is_ready()
     }
 
     fn metrics(&self) -> String {
-        String::new()
+        self.context.metrics.backlog(&self.desk.report());
+        self.context.metrics.render()
     }
 
     fn status(&self) -> serde_json::Value {
-        serde_json::json!({ "entry": self.incarnation.to_string() })
+        serde_json::json!({
+            "entry": self.incarnation.to_string(),
+            "data_centre": self.settings.data_centre,
+            "configuration_version": self.configuration.version(),
+            "draining": self.drain.is_draining(),
+            "open_requests": self.drain.open(),
+            "backlog": self.desk.report(),
+            "agents": self.context.directory.status(),
+        })
     }
 }
 
-/// Closes the stream when the caller is gone and cancels a request that has not ended.
-struct StreamGuard {
-    request: ids::RequestId,
-    channel: Arc<sessions::AgentChannel>,
-    runtime: runtime::Handle,
-    ended: bool,
-}
-
-impl Drop for StreamGuard {
-    fn drop(&mut self) {
-        self.channel.streams.close(self.request);
-        if self.ended {
-            return;
-        }
-        let Some(connection) = self.channel.connection() else {
-            return;
-        };
-        let request = self.request;
-        self.runtime.spawn(async move {
-            let call = service::deadline(DISPATCH_LIMIT);
-            let _ = connection
-                .client
-                .cancel(call, connection.agent, request)
-                .await;
-        });
-    }
-}
-
-fn answer(reader: relay::StreamReader, guard: StreamGuard) -> handler::AnswerStream {
-    stream::unfold(Some((reader, guard)), |state| async move {
-        let (mut reader, mut guard) = state?;
-        let part = reader.next().await;
-        let part = part.map_or_else(|| AnswerPart::Failed(interrupted()), answer_part);
-        if matches!(part, AnswerPart::Finished { .. } | AnswerPart::Failed(_)) {
-            guard.ended = true;
-            return Some((part, None));
-        }
-        Some((part, Some((reader, guard))))
-    })
-    .boxed()
-}
-
 fn answer_part(part: message::StreamPart) -> AnswerPart {
     match part {
         message::StreamPart::Head {
@@ -217,69 +384,8 @@
             prompt_tokens,
             completion_tokens,
         },
-        message::StreamPart::Failed(failure) => AnswerPart::Failed(stream_error(&failure)),
-    }
-}
-
-fn stream_error(failure: &message::StreamFailure) -> CallerError {
-    let code = match failure.reason {
-        message::FailureReason::AdapterUnavailable => ErrorCode::AdapterUnavailable,
-        message::FailureReason::Cancelled => ErrorCode::Cancelled,
-        message::FailureReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
-        message::FailureReason::EndpointFailed | message::FailureReason::EndpointRefused => {
-            ErrorCode::EndpointFailed
+        message::StreamPart::Failed(failure) => {
+            AnswerPart::Failed(failures::stream_error(&failure))
         }
-        message::FailureReason::WrongAdapter => ErrorCode::WrongAdapter,
-    };
-    let outcome = match failure.outcome {
-        message::RunOutcome::NotRun => RequestOutcome::NotRun,
-        message::RunOutcome::Unknown => RequestOutcome::Unknown,
-        message::RunOutcome::Failed => RequestOutcome::Failed,
-    };
-    CallerError {
-        code,
-        outcome,
-        message: failure.message.clone(),
-        retry_after: None,
-    }
-}
-
-fn resolve(model: &str) -> Result<ids::AdapterRef, CallerError> {
-    let (name, version) = ids::split_model(model)
-        .map_err(|error| CallerError::not_run(ErrorCode::UnknownModel, error.to_string()))?;
-    Ok(ids::AdapterRef {
-        name: name.to_owned(),
-        version: version.unwrap_or(1),
-    })
-}
-
-fn refused(reason: message::RefusalReason) -> CallerError {
-    let code = match reason {
-        message::RefusalReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
-        message::RefusalReason::QueueFull => ErrorCode::Overloaded,
-        message::RefusalReason::UnknownService => ErrorCode::UnknownService,
-        message::RefusalReason::AdapterUnavailable | message::RefusalReason::WrongBaseModel => {
-            ErrorCode::AdapterUnavailable
-        }
-        message::RefusalReason::Cancelled => ErrorCode::Cancelled,
-        message::RefusalReason::Draining
-        | message::RefusalReason::SessionClosed
-        | message::RefusalReason::Superseded
-        | message::RefusalReason::WrongIncarnation => ErrorCode::NoEndpoint,
-    };
-    CallerError::not_run(code, format!("the agent refused the request: {reason:?}"))
-}
-
-fn no_endpoint() -> CallerError {
-    let message = "no endpoint is connected; send the request again later";
-    CallerError::not_run(ErrorCode::NoEndpoint, message).retry_after(time::Duration::from_secs(1))
-}
-
-fn interrupted() -> CallerError {
-    CallerError {
-        code: ErrorCode::OutcomeUnknown,
-        outcome: RequestOutcome::Unknown,
-        message: "the answer was interrupted; the request may have run".into(),
-        retry_after: None,
     }
 }
--- /dev/null
+++ b/crates/entry/src/failures.rs
@@ -0,0 +1,142 @@
+//! Errors for callers from the answers of agents.
+
+use std::time;
+
+use callers::error::{CallerError, ErrorCode, RequestOutcome};
+use decisions::{retries, routing};
+use peers::message;
+
+use crate::attempts;
+
+const RETRY_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Error for a stream that failed.
+#[must_use]
+pub fn stream_error(failure: &message::StreamFailure) -> CallerError {
+    let outcome = match failure.outcome {
+        message::RunOutcome::NotRun => RequestOutcome::NotRun,
+        message::RunOutcome::Unknown => RequestOutcome::Unknown,
+        message::RunOutcome::Failed => RequestOutcome::Failed,
+    };
+    let code = match failure.reason {
+        _ if outcome == RequestOutcome::Unknown => ErrorCode::OutcomeUnknown,
+        message::FailureReason::AdapterUnavailable => ErrorCode::AdapterUnavailable,
+        message::FailureReason::Cancelled => ErrorCode::Cancelled,
+        message::FailureReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
+        message::FailureReason::EndpointFailed | message::FailureReason::EndpointRefused => {
+            ErrorCode::EndpointFailed
+        }
+        message::FailureReason::WrongAdapter => ErrorCode::WrongAdapter,
+    };
+    CallerError {
+        code,
+        outcome,
+        message: failure.message.clone(),
+        retry_after: None,
+    }
+}
+
+/// Error for a request that did not run at the last agent that was tried.
+#[must_use]
+pub fn not_run(reason: attempts::NotRunReason) -> CallerError {
+    match reason {
+        attempts::NotRunReason::Refused {
+            reason,
+            retry_after,
+        } => {
+            let message = format!("the agent refused the request: {reason:?}");
+            CallerError::not_run(refusal_code(reason), message).retry_after(retry_after)
+        }
+        attempts::NotRunReason::Unconnected | attempts::NotRunReason::Tombstone => no_endpoint(),
+    }
+}
+
+/// Error for a request that may have run.
+#[must_use]
+pub fn unknown() -> CallerError {
+    CallerError {
+        code: ErrorCode::OutcomeUnknown,
+        outcome: RequestOutcome::Unknown,
+        message: "the agent cannot be asked whether the request ran; it may have run".into(),
+        retry_after: None,
+    }
+}
+
+/// Error for a request without an endpoint.
+#[must_use]
+pub fn refused(refusal: routing::Refusal) -> CallerError {
+    CallerError::not_run(ErrorCode::NoEndpoint, refusal.to_string()).retry_after(RETRY_DELAY)
+}
+
+/// Error for a request without a connected endpoint.
+#[must_use]
+pub fn no_endpoint() -> CallerError {
+    let message = "no endpoint is connected; send the request again later";
+    CallerError::not_run(ErrorCode::NoEndpoint, message).retry_after(RETRY_DELAY)
+}
+
+/// Error for a key at an entry without a log.
+#[must_use]
+pub fn no_log() -> CallerError {
+    let message = "this entry has no log for idempotency keys; set `log` in its settings";
+    CallerError::not_run(ErrorCode::LogUnavailable, message)
+}
+
+/// Error for a request that arrives while the entry drains.
+#[must_use]
+pub fn draining() -> CallerError {
+    let message = "this entry drains; send the request again, another entry takes it";
+    CallerError::not_run(ErrorCode::Draining, message).retry_after(time::Duration::ZERO)
+}
+
+/// Why a request that did not run may be sent again.
+#[must_use]
+pub fn retry_reason(reason: attempts::NotRunReason) -> retries::RetryReason {
+    let attempts::NotRunReason::Refused { reason, .. } = reason else {
+        return match reason {
+            attempts::NotRunReason::Unconnected => retries::RetryReason::ConnectFailed,
+            _ => retries::RetryReason::EndpointLost,
+        };
+    };
+    match reason {
+        message::RefusalReason::AdapterUnavailable => retries::RetryReason::AdapterUnavailable,
+        message::RefusalReason::Draining | message::RefusalReason::Superseded => {
+            retries::RetryReason::Leaving
+        }
+        message::RefusalReason::DeadlineUnreachable | message::RefusalReason::QueueFull => {
+            retries::RetryReason::Overloaded
+        }
+        message::RefusalReason::SessionClosed | message::RefusalReason::WrongIncarnation => {
+            retries::RetryReason::SessionClosed
+        }
+        message::RefusalReason::Cancelled
+        | message::RefusalReason::UnknownService
+        | message::RefusalReason::WrongBaseModel => retries::RetryReason::EndpointFailed,
+    }
+}
+
+/// What a failed stream says of the run.
+#[must_use]
+pub fn knowledge(failure: &message::StreamFailure) -> retries::RunKnowledge {
+    match failure.outcome {
+        message::RunOutcome::NotRun => retries::RunKnowledge::NotRun,
+        message::RunOutcome::Unknown => retries::RunKnowledge::Unknown,
+        message::RunOutcome::Failed => retries::RunKnowledge::Ran,
+    }
+}
+
+fn refusal_code(reason: message::RefusalReason) -> ErrorCode {
+    match reason {
+        message::RefusalReason::DeadlineUnreachable => ErrorCode::DeadlineUnreachable,
+        message::RefusalReason::QueueFull => ErrorCode::Overloaded,
+        message::RefusalReason::UnknownService => ErrorCode::UnknownService,
+        message::RefusalReason::AdapterUnavailable | message::RefusalReason::WrongBaseModel => {
+            ErrorCode::AdapterUnavailable
+        }
+        message::RefusalReason::Cancelled => ErrorCode::Cancelled,
+        message::RefusalReason::Draining
+        | message::RefusalReason::SessionClosed
+        | message::RefusalReason::Superseded
+        | message::RefusalReason::WrongIncarnation => ErrorCode::NoEndpoint,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,136 @@
+//! Metrics of an entry.
+
+use std::time;
+
+use callers::error;
+use decisions::retries;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, UpDownCounter},
+};
+use serde::Serialize;
+use telemetry::metrics;
+
+use crate::admissions;
+
+/// Instruments of one entry.
+pub struct EntryMetrics {
+    registry: metrics::MetricsRegistry,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    outcomes: Counter<u64>,
+    first_token: Histogram<f64>,
+    between_tokens: Histogram<f64>,
+    open_streams: UpDownCounter<i64>,
+    sessions: UpDownCounter<i64>,
+    predicted_wait: Gauge<f64>,
+    late: Gauge<u64>,
+    waiting: Gauge<u64>,
+}
+
+impl EntryMetrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    /// [`metrics::MetricsError`] when the exporter cannot be set up.
+    pub fn new() -> Result<Self, metrics::MetricsError> {
+        let registry = metrics::MetricsRegistry::new()?;
+        let meter = registry.meter();
+        Ok(Self {
+            requests: meter.u64_counter("entry_requests").build(),
+            refusals: meter.u64_counter("entry_refusals").build(),
+            retries: meter.u64_counter("entry_retries").build(),
+            outcomes: meter.u64_counter("entry_outcomes").build(),
+            first_token: meter.f64_histogram("entry_first_token_seconds").build(),
+            between_tokens: meter.f64_histogram("entry_between_tokens_seconds").build(),
+            open_streams: meter.i64_up_down_counter("entry_open_streams").build(),
+            sessions: meter.i64_up_down_counter("entry_sessions").build(),
+            predicted_wait: meter.f64_gauge("entry_backlog_wait_seconds").build(),
+            late: meter.u64_gauge("entry_backlog_late").build(),
+            waiting: meter.u64_gauge("entry_backlog_waiting").build(),
+            registry,
+        })
+    }
+
+    /// Counts a request of a caller.
+    pub fn requested(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts a request that ended with an error before its answer began.
+    pub fn refused(&self, error: &error::CallerError) {
+        let code = KeyValue::new("reason", label(&error.code));
+        let outcome = KeyValue::new("outcome", label(&error.outcome));
+        self.refusals.add(1, &[code, outcome.clone()]);
+        self.outcomes.add(1, &[outcome]);
+    }
+
+    /// Counts an answer that ended.
+    pub fn ended(&self, outcome: &'static str) {
+        self.outcomes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a repeated attempt.
+    pub fn retried(&self, reason: retries::RetryReason) {
+        let reason = KeyValue::new("reason", retry_label(reason));
+        self.retries.add(1, &[reason]);
+    }
+
+    /// Records the time to the first token.
+    pub fn first_token(&self, time: time::Duration) {
+        self.first_token.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time between two tokens.
+    pub fn between_tokens(&self, time: time::Duration) {
+        self.between_tokens.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Changes the number of open streams.
+    pub fn streams(&self, change: i64) {
+        self.open_streams.add(change, &[]);
+    }
+
+    /// Changes the number of connected sessions.
+    pub fn sessions(&self, change: i64) {
+        self.sessions.add(change, &[]);
+    }
+
+    /// Records the backlog by priority. Adapters are in `status` only, since their number would
+    /// make too many time series.
+    pub fn backlog(&self, report: &admissions::BacklogReport) {
+        for entry in &report.priorities {
+            let priority = [KeyValue::new("priority", entry.name.clone())];
+            let wait = u32::try_from(entry.predicted_wait_ms).unwrap_or(u32::MAX);
+            self.predicted_wait
+                .record(f64::from(wait) / 1000.0, &priority);
+            self.late.record(entry.late.into(), &priority);
+            self.waiting.record(entry.waiting.into(), &priority);
+        }
+    }
+
+    /// All metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
+
+/// Name of a fieldless variant as serialized.
+fn label(value: &impl Serialize) -> String {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+fn retry_label(reason: retries::RetryReason) -> &'static str {
+    match reason {
+        retries::RetryReason::AdapterUnavailable => "adapter_unavailable",
+        retries::RetryReason::ConnectFailed => "connect_failed",
+        retries::RetryReason::EndpointFailed => "endpoint_failed",
+        retries::RetryReason::EndpointLost => "endpoint_lost",
+        retries::RetryReason::Leaving => "leaving",
+        retries::RetryReason::Overloaded => "overloaded",
+        retries::RetryReason::SessionClosed => "session_closed",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plans.rs
@@ -0,0 +1,149 @@
+//! Plan of one request: what every attempt at it has in common.
+
+use std::time;
+
+use callers::{completion, error::CallerError, handler};
+use decisions::{ids, units};
+use peers::message;
+use xxhash_rust::xxh3;
+
+use crate::{configuration, settings};
+
+/// Start of a body that decides which requests share a cached prefix, in bytes.
+const PREFIX_BYTES: usize = 1024;
+
+/// What every attempt at a request has in common.
+#[derive(Clone, Debug)]
+pub struct RequestPlan {
+    pub priority: units::Priority,
+    pub operator: String,
+    pub operator_weight: u32,
+    pub prefix: u64,
+    /// Time at which the first token or the service's answer is due.
+    pub due: tokio::time::Instant,
+    /// Whether the work may run more than once.
+    pub repeatable: bool,
+    /// Idempotency key, if the request must run at most once for all entries.
+    pub key: Option<String>,
+    pub target: PlanTarget,
+    pub work: message::Work,
+}
+
+/// Which endpoints can run the work.
+#[derive(Clone, Debug)]
+pub enum PlanTarget {
+    Adapter {
+        base_model: String,
+        adapter: ids::AdapterId,
+    },
+    Service(String),
+}
+
+impl RequestPlan {
+    /// Plan of a completion.
+    ///
+    /// # Errors
+    /// [`CallerError`] when the model name cannot be read.
+    pub fn completion(
+        settings: &settings::EntrySettings,
+        configuration: &configuration::ConfigurationView,
+        request: completion::CompletionRequest,
+    ) -> Result<Self, CallerError> {
+        let resolved = configuration.resolve(&request.model)?;
+        let route = match request.kind {
+            completion::CompletionKind::Completion => message::CompletionRoute::Completions,
+            completion::CompletionKind::Chat => message::CompletionRoute::ChatCompletions,
+        };
+        let wanted = request.options.priority.unwrap_or(resolved.priority);
+        let start = &request.body[..request.body.len().min(PREFIX_BYTES)];
+        Ok(Self {
+            priority: wanted.min(resolved.allowed_priority),
+            operator: resolved.operator,
+            operator_weight: resolved.operator_weight,
+            prefix: xxh3::xxh3_64(start),
+            due: due(settings, &request.options),
+            repeatable: true,
+            key: request.options.idempotency_key,
+            target: PlanTarget::Adapter {
+                base_model: resolved.base_model.clone(),
+                adapter: resolved.adapter.id(),
+            },
+            work: message::Work::Completion {
+                route,
+                base_model: resolved.base_model,
+                adapter: resolved.adapter,
+                body: request.body,
+            },
+        })
+    }
+
+    /// Plan of a service call. Without a configuration that says otherwise, only methods that HTTP
+    /// defines as safe may be repeated.
+    ///
+    /// # Errors
+    /// [`CallerError`] when the service is not configured.
+    pub fn service(
+        settings: &settings::EntrySettings,
+        configuration: &configuration::ConfigurationView,
+        call: handler::ServiceCall,
+    ) -> Result<Self, CallerError> {
+        let is_safe = matches!(call.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+        let repeatable = configuration.service(&call.service)?.unwrap_or(is_safe);
+        Ok(Self {
+            priority: call.options.priority.unwrap_or_default(),
+            operator: String::new(),
+            operator_weight: 1,
+            prefix: 0,
+            due: due(settings, &call.options),
+            repeatable,
+            // A call that may be repeated needs no claim.
+            key: call.options.idempotency_key.filter(|_| !repeatable),
+            target: PlanTarget::Service(call.service.clone()),
+            work: message::Work::Service {
+                service: call.service,
+                method: call.method,
+                path: call.path,
+                content_type: call.content_type,
+                body: call.body,
+            },
+        })
+    }
+
+    /// Time left until the answer is due.
+    #[must_use]
+    pub fn time_left(&self) -> time::Duration {
+        self.due
+            .saturating_duration_since(tokio::time::Instant::now())
+    }
+
+    /// Message for one attempt.
+    #[must_use]
+    pub fn dispatch(
+        &self,
+        session: ids::SessionId,
+        endpoint: ids::EndpointId,
+        request: ids::RequestId,
+    ) -> message::Dispatch {
+        message::Dispatch {
+            session,
+            agent: endpoint.agent,
+            request,
+            replica: endpoint.replica,
+            priority: self.priority,
+            operator: self.operator.clone(),
+            operator_weight: self.operator_weight,
+            prefix: self.prefix,
+            time_left: self.time_left(),
+            repeatable: self.repeatable && self.key.is_none(),
+            keep_answer: self.key.is_some(),
+            work: self.work.clone(),
+        }
+    }
+}
+
+fn due(
+    settings: &settings::EntrySettings,
+    options: &handler::RequestOptions,
+) -> tokio::time::Instant {
+    tokio::time::Instant::now() + options.deadline.unwrap_or(settings.default_deadline)
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,16 +3,34 @@
 use std::{io, net, sync::Arc};
 
 use callers::routes;
-use decisions::ids;
+use decisions::{ids, load_times, wait_routing};
 use peers::message;
+use platform::{
+    follower,
+    http::{HttpLimits, PlatformClient},
+    instances,
+    log::LogService,
+};
 use snafu::{ResultExt, Snafu};
-use tokio::runtime;
+use telemetry::{events, logs};
+use tokio::{runtime, task};
 
-use crate::{dispatcher, sessions, settings};
+use crate::{
+    admissions, claims, clock, configuration, directory, dispatcher, drain, keyed, metrics, roster,
+    settings,
+};
 
 /// Reason why an entry cannot start or stop.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
+    #[snafu(display("the settings have {} faults: {}", faults.len(), list(faults)))]
+    Settings {
+        faults: Vec<settings::SettingsFault>,
+    },
+    #[snafu(display("{source}"))]
+    Metrics {
+        source: telemetry::metrics::MetricsError,
+    },
     #[snafu(display("cannot listen on {address}; check that no other process uses it"))]
     Listen {
         address: net::SocketAddr,
@@ -24,41 +42,113 @@
 
 /// Running entry process.
 pub struct EntryServer {
+    settings: settings::EntrySettings,
+    logger: slog::Logger,
     callers: routes::CallerServer,
-    channels: Vec<sessions::ChannelTask>,
+    roster: roster::RosterTask,
+    follower: Option<follower::ConfigurationFollower>,
+    drain: Arc<drain::DrainState>,
+}
+
+/// What a shutdown left behind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DrainReport {
+    /// Requests that were still open at the deadline.
+    pub cut_off: usize,
 }
 
 impl EntryServer {
     /// Connects to the agents and serves callers. Must run inside a tokio runtime.
     ///
     /// # Errors
-    /// [`EntryError::Listen`] when the address cannot be bound.
+    /// [`EntryError`] when the settings have faults or the address cannot be bound.
     pub fn start(settings: settings::EntrySettings) -> Result<Self, EntryError> {
+        let faults = settings.validate();
+        if !faults.is_empty() {
+            return SettingsSnafu { faults }.fail();
+        }
+        let logger = logs::stderr_logger("entry", &settings.data_centre);
         let incarnation = ids::Incarnation(rand::random());
-        let hello = message::Hello {
-            protocol: message::PROTOCOL_VERSION,
-            entry: incarnation,
-            data_centre: settings.data_centre.clone(),
+        let metrics = Arc::new(metrics::EntryMetrics::new().context(MetricsSnafu)?);
+        let routing =
+            wait_routing::WaitRouting::new(load_times::StoreLimits::default(), incarnation.0);
+        let clock = clock::EntryClock::default();
+        let directory = Arc::new(directory::AgentDirectory::new(
+            &settings.data_centre,
+            clock,
+            Arc::clone(&metrics),
+            Box::new(routing),
+        ));
+        let log = settings.log.map(|address| {
+            let client = PlatformClient::new(address, HttpLimits::default());
+            Arc::new(client) as Arc<dyn LogService>
+        });
+        let follower = log.as_ref().map(|log| {
+            let images = configuration::AgentImages(Arc::clone(&directory));
+            let options = follower::FollowerSettings {
+                seed: incarnation.0,
+                ..follower::FollowerSettings::default()
+            };
+            follower::ConfigurationFollower::start(
+                Arc::clone(log),
+                Arc::new(images),
+                options,
+                logger.clone(),
+            )
+        });
+        let configuration = match &follower {
+            Some(follower) => configuration::ConfigurationView::following(follower.state()),
+            None => configuration::ConfigurationView::fixed(&settings.base_model),
         };
-        let agents = settings.agents.iter();
-        let channels: Vec<_> = agents
-            .map(|agent| sessions::AgentChannel::new(*agent, hello.clone()))
-            .map(sessions::ChannelTask::start)
-            .collect();
-        let address = settings.listen;
-        let threads = settings.threads;
+        let configuration = Arc::new(configuration);
         let dispatcher = dispatcher::RequestDispatcher::new(
-            settings,
+            settings.clone(),
             incarnation,
-            channels
-                .iter()
-                .map(|task| Arc::clone(&task.channel))
-                .collect(),
+            Arc::clone(&directory),
+            metrics,
+            Arc::clone(&configuration),
+            Arc::new(admissions::AdmissionDesk::new(clock)),
             runtime::Handle::current(),
         );
-        let callers = routes::CallerServer::start(address, threads, Arc::new(dispatcher))
+        let dispatcher = match &log {
+            Some(log) => {
+                let streams = settings.claim_streams;
+                let claims = claims::ClaimLog::new(log, streams, settings.claim_window, clock);
+                dispatcher.with_keys(keyed::KeyedRequests::new(claims, logger.clone()))
+            }
+            None => dispatcher,
+        };
+        let drain = dispatcher.drain();
+        let address = settings.listen;
+        let callers = routes::CallerServer::start(address, settings.threads, Arc::new(dispatcher))
             .context(ListenSnafu { address })?;
-        Ok(Self { callers, channels })
+        let hello = message::Hello {
+            protocol: message::PROTOCOL_VERSION,
+            entry: incarnation,
+            data_centre: settings.data_centre.clone(),
+        };
+        let list = settings.instance_list.map(|address| {
+            let client = PlatformClient::new(address, HttpLimits::default());
+            Arc::new(client) as Arc<dyn instances::InstanceList>
+        });
+        let roster = roster::RosterTask::start(roster::RosterParts {
+            hello,
+            directory,
+            configuration,
+            agents: settings.agents.clone(),
+            list,
+            logger: logger.clone(),
+        });
+        let message = format!("serves callers on {}", callers.address());
+        logs::info(&logger, events::PROCESS_STARTED, &message);
+        Ok(Self {
+            settings,
+            logger,
+            callers,
+            roster,
+            follower,
+            drain,
+        })
     }
 
     /// Address of the HTTP interface.
@@ -67,15 +157,46 @@
         self.callers.address()
     }
 
-    /// Stops the HTTP interface and the channels.
+    /// Refuses new requests and fails `/readyz` from now on; open requests continue.
+    pub fn drain(&self) {
+        self.drain.start();
+    }
+
+    /// Refuses new requests, waits for the open ones up to the drain deadline, and stops.
     ///
     /// # Errors
     /// [`EntryError::Serve`] when the HTTP server ended with an error.
-    pub fn close(self) -> Result<(), EntryError> {
-        let outcome = self.callers.close().context(ServeSnafu);
-        for channel in self.channels {
-            channel.close();
+    pub async fn close(self) -> Result<DrainReport, EntryError> {
+        self.drain.start();
+        logs::info(
+            &self.logger,
+            events::PROCESS_DRAINING,
+            "refuses new requests",
+        );
+        let limit = self.settings.drain;
+        let _ = tokio::time::timeout(limit, self.drain.wait_idle()).await;
+        let cut_off = self.drain.open();
+        if cut_off > 0 {
+            let message = format!("{cut_off} requests were cut off after {limit:?}");
+            logs::warn(&self.logger, events::DRAIN_DEADLINE_PASSED, &message);
         }
-        outcome
+        // Closing the channels ends the streams that are left, so that the server can stop.
+        self.roster.close().await;
+        if let Some(follower) = self.follower {
+            follower.close().await;
+        }
+        let callers = self.callers;
+        let closing = task::spawn_blocking(move || callers.close());
+        let outcome = closing
+            .await
+            .unwrap_or_else(|error| Err(io::Error::other(error)));
+        outcome.context(ServeSnafu)?;
+        logs::info(&self.logger, events::PROCESS_STOPPED, "stopped");
+        Ok(DrainReport { cut_off })
     }
 }
+
+fn list(faults: &[settings::SettingsFault]) -> String {
+    let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    faults.join("; ")
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,11 @@
 use std::{net, time};
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+const MAX_THREADS: usize = 64;
+const MAX_CLAIM_STREAMS: u16 = 256;
+const MAX_DRAIN: time::Duration = time::Duration::from_hours(1);
 
 /// Settings of one entry process.
 #[serde_with::serde_as]
@@ -16,7 +21,22 @@
     /// Threads of the HTTP interface.
     #[serde(default = "default_threads")]
     pub threads: usize,
-    /// Addresses of the agents.
+    /// Address of the platform's log. Without it no configuration is followed: every adapter name
+    /// is taken and runs on `base_model`.
+    #[serde(default)]
+    pub log: Option<net::SocketAddr>,
+    /// Log streams that hold the claims of idempotency keys; the same in all entries.
+    #[serde(default = "default_claim_streams")]
+    pub claim_streams: u16,
+    /// Time for which an idempotency key is remembered, in seconds; the same in all entries.
+    #[serde_as(as = "serde_with::DurationSeconds<u64>")]
+    #[serde(default = "default_claim_window", rename = "claim_window_seconds")]
+    pub claim_window: time::Duration,
+    /// Address of the platform's instance list; without it only `agents` are used.
+    #[serde(default)]
+    pub instance_list: Option<net::SocketAddr>,
+    /// Addresses of agents that are used in addition to the instance list.
+    #[serde(default)]
     pub agents: Vec<net::SocketAddr>,
     /// Base model of adapters that no configuration names.
     pub base_model: String,
@@ -30,6 +50,87 @@
     pub drain: time::Duration,
 }
 
+/// Fault in the settings.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{path}: {remedy}"))]
+pub struct SettingsFault {
+    /// Path of the field, for example `agents[2]`.
+    pub path: String,
+    pub remedy: String,
+}
+
+impl EntrySettings {
+    /// All faults, each with the path of its field and a remedy.
+    #[must_use]
+    pub fn validate(&self) -> Vec<SettingsFault> {
+        let mut faults = Vec::new();
+        let mut check = |is_valid: bool, path: &str, remedy: &str| {
+            if !is_valid {
+                faults.push(SettingsFault {
+                    path: path.to_owned(),
+                    remedy: remedy.to_owned(),
+                });
+            }
+        };
+        let has_centre = !self.data_centre.trim().is_empty();
+        check(
+            has_centre,
+            "data_centre",
+            "name the data centre of this instance",
+        );
+        let threads = (1..=MAX_THREADS).contains(&self.threads);
+        check(threads, "threads", "use 1 to 64 threads");
+        check(
+            !self.base_model.trim().is_empty(),
+            "base_model",
+            "name a base model",
+        );
+        let deadline = !self.default_deadline.is_zero();
+        check(deadline, "default_deadline_ms", "use at least 1 ms");
+        check(
+            self.drain <= MAX_DRAIN,
+            "drain_seconds",
+            "use at most 3600 s",
+        );
+        let streams = (1..=MAX_CLAIM_STREAMS).contains(&self.claim_streams);
+        check(
+            streams,
+            "claim_streams",
+            "use 1 to 256 streams, the same in all entries",
+        );
+        let window = !self.claim_window.is_zero();
+        check(window, "claim_window_seconds", "use at least 1 s");
+        let has_agents = !self.agents.is_empty() || self.instance_list.is_some();
+        check(
+            has_agents,
+            "agents",
+            "name an agent here or set `instance_list`",
+        );
+        for (index, agent) in self.agents.iter().enumerate() {
+            let path = format!("agents[{index}]");
+            let is_routable = !agent.ip().is_unspecified() && !agent.ip().is_multicast();
+            check(is_routable, &path, "use the address of one instance");
+            check(agent.port() != 0, &path, "use the agent's port, not 0");
+            check(
+                *agent != self.listen,
+                &path,
+                "use the agent's address, not `listen`",
+            );
+            let is_first = !self.agents[..index].contains(agent);
+            check(is_first, &path, "remove the duplicate address");
+        }
+        faults
+    }
+}
+
+fn default_claim_streams() -> u16 {
+    16
+}
+
+fn default_claim_window() -> time::Duration {
+    time::Duration::from_mins(10)
+}
+
 fn default_threads() -> usize {
     2
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -49,6 +49,10 @@
         listen: LOOPBACK,
         data_centre: "a".into(),
         threads: 1,
+        log: None,
+        claim_streams: 16,
+        claim_window: std::time::Duration::from_mins(10),
+        instance_list: None,
         agents: vec![agent.address()],
         base_model: "base".into(),
         default_deadline: std::time::Duration::from_secs(10),
@@ -70,7 +74,7 @@
     }
     assert!(response.contains("[DONE]"), "{response}");
     assert_eq!(engine.counts().generations, 1);
-    entry.close().unwrap();
+    entry.close().await.unwrap();
     agent.close();
     engine.close();
 }
