--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -60,6 +60,29 @@
 }
 
 impl EntrySettings {
+    /// Settings with these agents and defaults for the rest.
+    #[must_use]
+    pub fn new(
+        listen: net::SocketAddr,
+        data_centre: &str,
+        base_model: &str,
+        agents: Vec<net::SocketAddr>,
+    ) -> Self {
+        Self {
+            listen,
+            data_centre: data_centre.to_owned(),
+            threads: default_threads(),
+            log: None,
+            claim_streams: default_claim_streams(),
+            claim_window: default_claim_window(),
+            instance_list: None,
+            agents,
+            base_model: base_model.to_owned(),
+            default_deadline: default_deadline(),
+            drain: default_drain(),
+        }
+    }
+
     /// All faults, each with the path of its field and a remedy.
     #[must_use]
     pub fn validate(&self) -> Vec<SettingsFault> {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -75,15 +75,8 @@
         }
         let mut entries = Vec::new();
         for index in 0..ENTRIES {
-            let settings = EntrySettings {
-                listen: LOOPBACK,
-                data_centre: data_centre(index),
-                threads: 2,
-                agents: agents.iter().map(AgentServer::address).collect(),
-                base_model: "base".into(),
-                default_deadline: time::Duration::from_secs(10),
-                drain: time::Duration::from_secs(5),
-            };
+            let agents = agents.iter().map(AgentServer::address).collect();
+            let settings = EntrySettings::new(LOOPBACK, &data_centre(index), "base", agents);
             entries.push(EntryServer::start(settings).context(EntrySnafu)?);
         }
         Ok(Self {
@@ -97,9 +90,9 @@
     ///
     /// # Errors
     /// [`DemoError`] when an entry ended with an error.
-    pub fn close(self) -> Result<(), DemoError> {
+    pub async fn close(self) -> Result<(), DemoError> {
         for entry in self.entries {
-            entry.close().context(EntrySnafu)?;
+            entry.close().await.context(EntrySnafu)?;
         }
         for agent in self.agents {
             agent.close();
@@ -138,7 +131,7 @@
         .context(LoadSnafu)?;
     let counts = cluster.engines.iter().map(stand_in::StandInEngine::counts);
     report.load_stalls = counts.map(|counts| counts.loads).sum();
-    cluster.close()?;
+    cluster.close().await?;
     Ok(report)
 }
 
