--- /dev/null
+++ b/crates/agent/src/handler.rs
@@ -0,0 +1,346 @@
+//! Calls of entries.
+
+use std::{
+    sync::{Arc, atomic},
+    time,
+};
+
+use decisions::{ids, load_budget};
+use endpoints::{client, service::ServiceCall};
+use futures::{FutureExt, future::BoxFuture};
+use peers::{message, service};
+
+use crate::{replica, reports, requests, services, sessions, streams};
+
+/// Parts in one poll reply.
+const MAX_EVENTS: usize = 1024;
+/// Bytes of parts in one poll reply, exceeded by at most one part.
+const MAX_BYTES: usize = 1 << 20;
+/// Shortest retry-after of a refusal.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
+/// State behind the RPC interface.
+pub struct AgentState {
+    pub incarnation: ids::Incarnation,
+    pub data_centre: String,
+    /// Agents that share the weight store.
+    pub agents: u32,
+    pub context: Arc<replica::AgentContext>,
+    pub replicas: Vec<Arc<replica::ReplicaDriver>>,
+    pub services: Vec<Arc<services::ServiceCaller>>,
+    pub reports: reports::ReportBoard,
+    pub is_leaving: atomic::AtomicBool,
+}
+
+/// RPC interface of an agent.
+pub struct RpcHandler(pub Arc<AgentState>);
+
+impl service::AgentHandler for RpcHandler {
+    fn hello(&self, hello: message::Hello) -> BoxFuture<'_, message::HelloReply> {
+        let reply = self.0.hello(&hello);
+        async move { reply }.boxed()
+    }
+
+    fn dispatch(&self, dispatch: message::Dispatch) -> BoxFuture<'_, message::DispatchReply> {
+        let reply = self.0.dispatch(dispatch);
+        async move { reply }.boxed()
+    }
+
+    fn poll(&self, poll: message::Poll) -> BoxFuture<'_, message::PollReply> {
+        async move { self.0.poll(poll).await }.boxed()
+    }
+
+    fn attach(
+        &self,
+        session: ids::SessionId,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+    ) -> BoxFuture<'_, message::CancelReply> {
+        let reply = self.0.attach(session, agent, request);
+        async move { reply }.boxed()
+    }
+
+    fn cancel(
+        &self,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+    ) -> BoxFuture<'_, message::CancelReply> {
+        let reply = self.0.cancel(agent, request);
+        async move { reply }.boxed()
+    }
+
+    fn configuration(
+        &self,
+        _known_version: u64,
+    ) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
+        async { None }.boxed()
+    }
+}
+
+impl AgentState {
+    fn is_leaving(&self) -> bool {
+        self.is_leaving.load(atomic::Ordering::SeqCst)
+    }
+
+    fn report(&self) -> Arc<message::LoadReport> {
+        self.reports.read(&self.replicas, self.is_leaving())
+    }
+
+    fn hello(&self, hello: &message::Hello) -> message::HelloReply {
+        if hello.protocol != message::PROTOCOL_VERSION {
+            return message::HelloReply::ProtocolMismatch {
+                agent_protocol: message::PROTOCOL_VERSION,
+            };
+        }
+        if self.is_leaving() {
+            return message::HelloReply::Leaving;
+        }
+        let context = &self.context;
+        let session = context.requests.sessions().open(context.clock.now());
+        telemetry::logs::info(
+            &context.logger,
+            telemetry::events::SESSION_OPENED,
+            "an entry opened a session",
+        );
+        message::HelloReply::Welcome(message::Welcome {
+            agent: self.incarnation,
+            session: session.id(),
+            data_centre: self.data_centre.clone(),
+            report: message::LoadReport::clone(&self.report()),
+        })
+    }
+
+    fn dispatch(&self, dispatch: message::Dispatch) -> message::DispatchReply {
+        let priority = dispatch.priority;
+        let time_left = dispatch.time_left;
+        let replica = self.replicas.get(usize::from(dispatch.replica));
+        self.accept(dispatch).unwrap_or_else(|reason| {
+            self.context.metrics.refuse(reason);
+            let retry_after = match (reason, replica) {
+                (message::RefusalReason::QueueFull, Some(replica)) => {
+                    replica.retry_after(priority, time_left)
+                }
+                _ => RETRY_AFTER,
+            };
+            message::DispatchReply::Refused {
+                reason,
+                retry_after,
+            }
+        })
+    }
+
+    fn accept(
+        &self,
+        dispatch: message::Dispatch,
+    ) -> Result<message::DispatchReply, message::RefusalReason> {
+        if dispatch.agent != self.incarnation {
+            return Err(message::RefusalReason::WrongIncarnation);
+        }
+        let now = self.context.clock.now();
+        let session = self.context.requests.sessions().find(dispatch.session);
+        let session = session
+            .filter(|session| session.is_active(now))
+            .ok_or(message::RefusalReason::SessionClosed)?;
+        if self.is_leaving() {
+            return Err(message::RefusalReason::Draining);
+        }
+        let request = dispatch.request;
+        let stream = streams::OutputStream::new(request, session.id(), dispatch.keep_answer);
+        let stream = Arc::new(stream);
+        match dispatch.work {
+            message::Work::Completion {
+                route,
+                base_model,
+                adapter,
+                body,
+            } => {
+                let replica = self
+                    .replicas
+                    .get(usize::from(dispatch.replica))
+                    .ok_or(message::RefusalReason::AdapterUnavailable)?;
+                if let Some(reason) = replica.refusal(&base_model) {
+                    return Err(reason);
+                }
+                if let Some(reply) = self.admit(&stream, &session)? {
+                    return Ok(reply);
+                }
+                replica.push(replica::CompletionTask {
+                    generation: client::Generation {
+                        request,
+                        path: route_path(route),
+                        adapter,
+                        priority: dispatch.priority,
+                        body,
+                    },
+                    operator: dispatch.operator,
+                    weight: dispatch.operator_weight,
+                    deadline: now + dispatch.time_left,
+                    stream,
+                });
+            }
+            message::Work::Service {
+                service,
+                method,
+                path,
+                content_type,
+                body,
+            } => {
+                let position = self
+                    .services
+                    .binary_search_by(|other| other.name.cmp(&service))
+                    .map_err(|_| message::RefusalReason::UnknownService)?;
+                if let Some(reply) = self.admit(&stream, &session)? {
+                    return Ok(reply);
+                }
+                let caller = Arc::clone(&self.services[position]);
+                let call = ServiceCall {
+                    request,
+                    method,
+                    path,
+                    content_type,
+                    body,
+                };
+                tokio::spawn(caller.run(Arc::clone(&self.context), call, stream));
+            }
+        }
+        Ok(message::DispatchReply::Accepted)
+    }
+
+    /// Admits the request of a stream; a reply is returned when it is known already.
+    fn admit(
+        &self,
+        stream: &Arc<streams::OutputStream>,
+        session: &sessions::AgentSession,
+    ) -> Result<Option<message::DispatchReply>, message::RefusalReason> {
+        use decisions::request_table::RequestState;
+
+        match self.context.requests.admit(stream, session) {
+            requests::Admission::Admitted => Ok(None),
+            requests::Admission::SessionClosed => Err(message::RefusalReason::SessionClosed),
+            requests::Admission::Known(RequestState::CancelledBeforeStart) => {
+                Err(message::RefusalReason::Cancelled)
+            }
+            requests::Admission::Known(_) => Ok(Some(message::DispatchReply::AlreadyKnown)),
+        }
+    }
+
+    async fn poll(&self, poll: message::Poll) -> message::PollReply {
+        let context = &self.context;
+        let session = context.requests.sessions().find(poll.session);
+        let Some(session) = session.filter(|session| session.touch(context.clock.now())) else {
+            return message::PollReply::SessionClosed;
+        };
+        self.note_demand(poll.demand);
+        let number = {
+            let mut polls = session.polls();
+            *polls += 1;
+            for ack in &poll.acks {
+                context.requests.acknowledge(&session, ack);
+            }
+            *polls
+        };
+        session.wake();
+        let mut events = Vec::new();
+        let wait = poll.wait.min(message::POLL_WAIT);
+        let _ = tokio::time::timeout(wait, async {
+            loop {
+                let changed = session.changed();
+                let is_newest = self.collect(&session, number, &mut events);
+                if !is_newest || !events.is_empty() || session.is_report_due() {
+                    return;
+                }
+                changed.await;
+            }
+        })
+        .await;
+        let report = self.report();
+        let is_due = session.take_report(report.sequence, context.clock.now());
+        message::PollReply::Events {
+            events,
+            report: is_due.then(|| message::LoadReport::clone(&report)),
+            configuration_version: 0,
+        }
+    }
+
+    /// Collects parts for the poll `number`; false when a newer poll has arrived.
+    fn collect(
+        &self,
+        session: &sessions::AgentSession,
+        number: u64,
+        events: &mut Vec<message::StreamEvent>,
+    ) -> bool {
+        let polls = session.polls();
+        if *polls != number {
+            return false;
+        }
+        let mut bytes = 0;
+        while events.len() < MAX_EVENTS && bytes < MAX_BYTES {
+            let Some(request) = session.pop_ready() else {
+                break;
+            };
+            let Some(stream) = self.context.requests.stream(request) else {
+                continue;
+            };
+            if stream.session() != session.id() {
+                continue;
+            }
+            bytes += stream.take_unsent(MAX_EVENTS, MAX_BYTES - bytes, events);
+            if stream.list() {
+                session.push_ready(request);
+            }
+        }
+        true
+    }
+
+    fn note_demand(&self, others: u32) {
+        let loads: usize = self
+            .replicas
+            .iter()
+            .map(|replica| replica.waiting_loads())
+            .sum();
+        let now = self.context.clock.now();
+        let demand = load_budget::LoadDemand {
+            own: u32::try_from(loads).unwrap_or(u32::MAX),
+            others,
+            agents: self.agents,
+            reported: now,
+        };
+        self.context.budget.on_demand(demand, now);
+    }
+
+    fn attach(
+        &self,
+        session: ids::SessionId,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+    ) -> message::CancelReply {
+        if agent != self.incarnation {
+            return message::CancelReply::WrongIncarnation;
+        }
+        // Without the session the stream stays where it is; its entry may attach again.
+        let Some(session) = self.context.requests.sessions().find(session) else {
+            return message::CancelReply::Running;
+        };
+        self.context.requests.attach(&session, request)
+    }
+
+    fn cancel(&self, agent: ids::Incarnation, request: ids::RequestId) -> message::CancelReply {
+        if agent != self.incarnation {
+            return message::CancelReply::WrongIncarnation;
+        }
+        let reply = self.context.requests.cancel(request);
+        if reply == message::CancelReply::NotRun {
+            for replica in &self.replicas {
+                replica.remove(request);
+            }
+        }
+        reply
+    }
+}
+
+fn route_path(route: message::CompletionRoute) -> &'static str {
+    match route {
+        message::CompletionRoute::Completions => "/v1/completions",
+        message::CompletionRoute::ChatCompletions => "/v1/chat/completions",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/requests.rs
@@ -0,0 +1,320 @@
+//! Requests of one agent incarnation: their states, their streams and the kept answers.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use decisions::{
+    ids,
+    request_table::{self, CancelOutcome, RequestState},
+    units,
+};
+use parking_lot::Mutex;
+use peers::message;
+
+use crate::{clock, sessions, streams};
+
+const SHARD_COUNT: u64 = 16;
+
+/// Outcome of an admission.
+pub enum Admission {
+    Admitted,
+    /// The session was closed meanwhile; a tombstone prevents a later start.
+    SessionClosed,
+    Known(RequestState),
+}
+
+/// Requests in shards by request id, with the sessions that read their streams.
+pub struct RequestRegistry {
+    clock: clock::AgentClock,
+    shards: Vec<Mutex<RequestShard>>,
+    sessions: sessions::SessionRegistry,
+    kept: Mutex<KeptAnswers>,
+}
+
+#[derive(Default)]
+struct RequestShard {
+    table: request_table::RequestTable,
+    /// Sorted by request.
+    streams: Vec<Arc<streams::OutputStream>>,
+}
+
+/// Finished answers that are kept for callers that repeat a key, in the order in which they ended.
+struct KeptAnswers {
+    limit: usize,
+    bytes: usize,
+    answers: VecDeque<KeptAnswer>,
+}
+
+struct KeptAnswer {
+    request: ids::RequestId,
+    bytes: usize,
+    ended: units::Timestamp,
+}
+
+impl RequestRegistry {
+    /// Empty registry that keeps finished answers of up to `kept_bytes` bytes in total.
+    #[must_use]
+    pub fn new(clock: clock::AgentClock, kept_bytes: usize) -> Self {
+        Self {
+            clock,
+            shards: (0..SHARD_COUNT).map(|_| Mutex::default()).collect(),
+            sessions: sessions::SessionRegistry::default(),
+            kept: Mutex::new(KeptAnswers {
+                limit: kept_bytes,
+                bytes: 0,
+                answers: VecDeque::new(),
+            }),
+        }
+    }
+
+    /// Sessions that read the streams.
+    #[must_use]
+    pub fn sessions(&self) -> &sessions::SessionRegistry {
+        &self.sessions
+    }
+
+    /// Admits the request of a stream once.
+    pub fn admit(
+        &self,
+        stream: &Arc<streams::OutputStream>,
+        session: &sessions::AgentSession,
+    ) -> Admission {
+        let request = stream.request();
+        let now = self.clock.now();
+        let mut shard = self.shard(request).lock();
+        if let Err(state) = shard.table.admit(request, now) {
+            return Admission::Known(state);
+        }
+        if !session.add_stream(request) {
+            shard.table.cancel(request, now);
+            return Admission::SessionClosed;
+        }
+        let streams = &mut shard.streams;
+        let position = streams.partition_point(|other| other.request() < request);
+        streams.insert(position, Arc::clone(stream));
+        Admission::Admitted
+    }
+
+    /// Starts a queued request; false when it must not run.
+    #[must_use]
+    pub fn start(&self, request: ids::RequestId) -> bool {
+        let now = self.clock.now();
+        self.shard(request).lock().table.start(request, now)
+    }
+
+    /// Ends a request with the last part of its stream.
+    pub fn end(&self, stream: &Arc<streams::OutputStream>, last: message::StreamPart) {
+        let request = stream.request();
+        let now = self.clock.now();
+        let is_finished = matches!(last, message::StreamPart::Finished { .. });
+        let is_not_run = is_not_run(&last);
+        {
+            let table = &mut self.shard(request).lock().table;
+            if is_finished {
+                table.finish(request, now);
+            } else if is_not_run && table.state(request) == Some(RequestState::Queued) {
+                table.cancel(request, now);
+            } else {
+                table.fail(request, now);
+            }
+        }
+        stream.end(last);
+        if stream.is_kept() {
+            self.keep(stream, now);
+        } else if stream.is_abandoned() {
+            self.forget(request);
+        }
+        self.wake(stream);
+    }
+
+    /// Tells the session of a stream that parts wait.
+    pub fn wake(&self, stream: &streams::OutputStream) {
+        let Some(session) = self.sessions.find(stream.session()) else {
+            return;
+        };
+        if stream.list() {
+            session.push_ready(stream.request());
+        }
+    }
+
+    /// Records what an entry has received and its caller has consumed.
+    pub fn acknowledge(&self, session: &sessions::AgentSession, ack: &message::StreamAck) {
+        let Some(stream) = self.stream(ack.request) else {
+            return;
+        };
+        if stream.session() != session.id() {
+            return;
+        }
+        stream.acknowledge(ack.received, ack.consumed);
+        if stream.is_delivered() {
+            session.remove_stream(ack.request);
+            if !stream.is_kept() {
+                self.forget(ack.request);
+            }
+        } else if stream.list() {
+            session.push_ready(ack.request);
+        }
+    }
+
+    /// Moves the stream of a known request to another session, from part 0.
+    pub fn attach(
+        &self,
+        session: &sessions::AgentSession,
+        request: ids::RequestId,
+    ) -> message::CancelReply {
+        let Some(stream) = self.stream(request) else {
+            let state = self.shard(request).lock().table.state(request);
+            return match state {
+                None | Some(RequestState::CancelledBeforeStart) => message::CancelReply::NotRun,
+                Some(_) => message::CancelReply::Finished,
+            };
+        };
+        let previous = stream.session();
+        if !stream.attach(session.id()) {
+            return message::CancelReply::Finished;
+        }
+        if previous != session.id()
+            && let Some(previous) = self.sessions.find(previous)
+        {
+            previous.remove_stream(request);
+        }
+        if !session.add_stream(request) {
+            return message::CancelReply::Running;
+        }
+        if stream.list() {
+            session.push_ready(request);
+        }
+        message::CancelReply::Running
+    }
+
+    /// Prevents the start of a request, or makes a running one stop.
+    pub fn cancel(&self, request: ids::RequestId) -> message::CancelReply {
+        let now = self.clock.now();
+        let mut shard = self.shard(request).lock();
+        let outcome = shard.table.cancel(request, now);
+        let stream = shard.stream(request);
+        drop(shard);
+        if let Some(stream) = stream {
+            stream.cancel();
+        }
+        match outcome {
+            CancelOutcome::NotRun => message::CancelReply::NotRun,
+            CancelOutcome::Running => message::CancelReply::Running,
+            CancelOutcome::Finished | CancelOutcome::Failed => message::CancelReply::Finished,
+        }
+    }
+
+    /// Closes silent sessions and drops what is no longer needed. Returns the number closed.
+    pub fn sweep(&self) -> usize {
+        let now = self.clock.now();
+        let closed = self.sessions.close_silent(now);
+        for session in &closed {
+            for request in session.streams() {
+                self.abandon(session, request);
+            }
+        }
+        self.kept.lock().trim(now, |request| self.forget(request));
+        for shard in &self.shards {
+            shard.lock().table.expire(now);
+        }
+        closed.len()
+    }
+
+    /// Stream of a request.
+    #[must_use]
+    pub fn stream(&self, request: ids::RequestId) -> Option<Arc<streams::OutputStream>> {
+        self.shard(request).lock().stream(request)
+    }
+
+    /// Requests that have not ended, and answers that were not delivered to an open session.
+    #[must_use]
+    pub fn open_requests(&self) -> Vec<ids::RequestId> {
+        let mut open = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.lock();
+            let is_open = |stream: &&Arc<streams::OutputStream>| !stream.is_delivered();
+            let streams = shard.streams.iter().filter(is_open);
+            open.extend(streams.map(|stream| stream.request()));
+        }
+        open.retain(|request| {
+            self.stream(*request).is_some_and(|stream| {
+                !stream.is_ended() || self.sessions.find(stream.session()).is_some()
+            })
+        });
+        open
+    }
+
+    fn abandon(&self, session: &sessions::AgentSession, request: ids::RequestId) {
+        let Some(stream) = self.stream(request) else {
+            return;
+        };
+        if stream.session() != session.id() {
+            return;
+        }
+        if stream.is_kept() {
+            stream.release_window();
+            return;
+        }
+        self.cancel(request);
+        if stream.abandon() {
+            self.forget(request);
+        }
+    }
+
+    fn keep(&self, stream: &streams::OutputStream, now: units::Timestamp) {
+        let answer = KeptAnswer {
+            request: stream.request(),
+            bytes: stream.bytes(),
+            ended: now,
+        };
+        let mut kept = self.kept.lock();
+        kept.bytes += answer.bytes;
+        kept.answers.push_back(answer);
+        kept.trim(now, |request| self.forget(request));
+    }
+
+    fn forget(&self, request: ids::RequestId) {
+        let mut shard = self.shard(request).lock();
+        if let Some(position) = shard.position(request) {
+            shard.streams.remove(position);
+        }
+    }
+
+    fn shard(&self, request: ids::RequestId) -> &Mutex<RequestShard> {
+        let hash = request.entry.0 ^ request.sequence;
+        let index = usize::try_from(hash % SHARD_COUNT).unwrap_or(0);
+        &self.shards[index]
+    }
+}
+
+impl KeptAnswers {
+    /// Drops expired answers, and the ones that ended first while the total is over the limit.
+    fn trim(&mut self, now: units::Timestamp, forget: impl Fn(ids::RequestId)) {
+        while let Some(first) = self.answers.front() {
+            let is_expired = now.since(first.ended) >= request_table::RETENTION;
+            if !is_expired && self.bytes <= self.limit {
+                return;
+            }
+            self.bytes -= first.bytes;
+            forget(first.request);
+            self.answers.pop_front();
+        }
+    }
+}
+
+impl RequestShard {
+    fn stream(&self, request: ids::RequestId) -> Option<Arc<streams::OutputStream>> {
+        let position = self.position(request)?;
+        Some(Arc::clone(&self.streams[position]))
+    }
+
+    fn position(&self, request: ids::RequestId) -> Option<usize> {
+        self.streams
+            .binary_search_by_key(&request, |stream| stream.request())
+            .ok()
+    }
+}
+
+fn is_not_run(last: &message::StreamPart) -> bool {
+    matches!(last, message::StreamPart::Failed(failure)
+        if failure.outcome == message::RunOutcome::NotRun)
+}
--- /dev/null
+++ b/crates/agent/src/sessions.rs
@@ -0,0 +1,220 @@
+//! Sessions of entries.
+//!
+//! A session without a poll for [`message::SILENCE_LIMIT`] is suspended: it accepts no dispatch
+//! until its entry polls again, on any connection. After [`message::SESSION_LIMIT`] it is closed.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use decisions::{ids, units};
+use parking_lot::{Mutex, MutexGuard};
+use peers::message;
+use tokio::sync;
+
+const SHARD_COUNT: u64 = 16;
+
+/// Session of one entry.
+pub struct AgentSession {
+    id: ids::SessionId,
+    state: Mutex<SessionState>,
+    /// Held while a poll records its acks or collects parts.
+    polls: Mutex<u64>,
+    wake: sync::Notify,
+}
+
+struct SessionState {
+    last_poll: units::Timestamp,
+    is_closed: bool,
+    /// Streams with parts to send, in the order in which they became ready.
+    ready: VecDeque<ids::RequestId>,
+    /// Streams of this session, sorted.
+    streams: Vec<ids::RequestId>,
+    report_sequence: u64,
+    reported: units::Timestamp,
+    is_report_due: bool,
+}
+
+/// All sessions, in shards by session id.
+pub struct SessionRegistry {
+    shards: Vec<Mutex<Vec<Arc<AgentSession>>>>,
+}
+
+impl AgentSession {
+    fn new(id: ids::SessionId, now: units::Timestamp) -> Self {
+        let state = SessionState {
+            last_poll: now,
+            is_closed: false,
+            ready: VecDeque::new(),
+            streams: Vec::new(),
+            report_sequence: 0,
+            reported: now,
+            is_report_due: false,
+        };
+        Self {
+            id,
+            state: Mutex::new(state),
+            polls: Mutex::new(0),
+            wake: sync::Notify::new(),
+        }
+    }
+
+    /// Identifier of this session.
+    #[must_use]
+    pub fn id(&self) -> ids::SessionId {
+        self.id
+    }
+
+    /// Whether a dispatch is accepted at this time.
+    #[must_use]
+    pub fn is_active(&self, now: units::Timestamp) -> bool {
+        let state = self.state.lock();
+        !state.is_closed && now.since(state.last_poll) < message::SILENCE_LIMIT
+    }
+
+    /// Records a poll; false when the session is closed.
+    pub fn touch(&self, now: units::Timestamp) -> bool {
+        let mut state = self.state.lock();
+        state.last_poll = state.last_poll.max(now);
+        !state.is_closed
+    }
+
+    /// Number of the newest poll. Only that poll may collect parts: an older one would send them
+    /// into a connection that its entry has given up.
+    pub fn polls(&self) -> MutexGuard<'_, u64> {
+        self.polls.lock()
+    }
+
+    /// Adds a stream; false when the session is closed.
+    pub fn add_stream(&self, request: ids::RequestId) -> bool {
+        let mut state = self.state.lock();
+        if state.is_closed {
+            return false;
+        }
+        if let Err(position) = state.streams.binary_search(&request) {
+            state.streams.insert(position, request);
+        }
+        true
+    }
+
+    /// Removes a stream that is delivered or belongs to another session.
+    pub fn remove_stream(&self, request: ids::RequestId) {
+        let mut state = self.state.lock();
+        if let Ok(position) = state.streams.binary_search(&request) {
+            state.streams.remove(position);
+        }
+    }
+
+    /// Appends a stream to those with parts to send. The stream makes sure that it is listed once.
+    pub fn push_ready(&self, request: ids::RequestId) {
+        self.state.lock().ready.push_back(request);
+        self.wake.notify_waiters();
+    }
+
+    /// Takes the first stream with parts to send.
+    #[must_use]
+    pub fn pop_ready(&self) -> Option<ids::RequestId> {
+        self.state.lock().ready.pop_front()
+    }
+
+    /// Future that ends at the next change.
+    pub fn changed(&self) -> sync::futures::Notified<'_> {
+        self.wake.notified()
+    }
+
+    /// Makes the outstanding poll reply at once, with a load report.
+    pub fn request_report(&self) {
+        self.state.lock().is_report_due = true;
+        self.wake.notify_waiters();
+    }
+
+    /// Makes an outstanding poll look again, because a newer one has arrived.
+    pub fn wake(&self) {
+        self.wake.notify_waiters();
+    }
+
+    /// Whether a load report was requested.
+    #[must_use]
+    pub fn is_report_due(&self) -> bool {
+        self.state.lock().is_report_due
+    }
+
+    /// Whether the next reply carries the report `sequence`; records it as sent if so.
+    pub fn take_report(&self, sequence: u64, now: units::Timestamp) -> bool {
+        let mut state = self.state.lock();
+        let is_old = now.since(state.reported) >= message::POLL_WAIT;
+        if state.report_sequence == sequence && !is_old && !state.is_report_due {
+            return false;
+        }
+        state.report_sequence = sequence;
+        state.reported = now;
+        state.is_report_due = false;
+        true
+    }
+
+    fn close_if_silent(&self, now: units::Timestamp) -> bool {
+        let mut state = self.state.lock();
+        if now.since(state.last_poll) < message::SESSION_LIMIT {
+            return false;
+        }
+        state.is_closed = true;
+        true
+    }
+
+    /// Streams of this session.
+    #[must_use]
+    pub fn streams(&self) -> Vec<ids::RequestId> {
+        self.state.lock().streams.clone()
+    }
+}
+
+impl Default for SessionRegistry {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARD_COUNT).map(|_| Mutex::default()).collect(),
+        }
+    }
+}
+
+impl SessionRegistry {
+    /// Opens a session.
+    #[must_use]
+    pub fn open(&self, now: units::Timestamp) -> Arc<AgentSession> {
+        let session = Arc::new(AgentSession::new(ids::SessionId(rand::random()), now));
+        let mut sessions = self.shard(session.id).lock();
+        let position = sessions.partition_point(|other| other.id < session.id);
+        sessions.insert(position, Arc::clone(&session));
+        session
+    }
+
+    /// Session with this id, suspended or not.
+    #[must_use]
+    pub fn find(&self, id: ids::SessionId) -> Option<Arc<AgentSession>> {
+        let sessions = self.shard(id).lock();
+        let position = sessions
+            .binary_search_by_key(&id, |session| session.id)
+            .ok()?;
+        Some(Arc::clone(&sessions[position]))
+    }
+
+    /// Removes the sessions that have been silent for too long and returns them.
+    #[must_use]
+    pub fn close_silent(&self, now: units::Timestamp) -> Vec<Arc<AgentSession>> {
+        let mut closed = Vec::new();
+        for shard in &self.shards {
+            let mut sessions = shard.lock();
+            closed.extend(sessions.extract_if(.., |session| session.close_if_silent(now)));
+        }
+        closed
+    }
+
+    /// All sessions.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<AgentSession>> {
+        let shards = self.shards.iter();
+        shards.flat_map(|shard| shard.lock().clone()).collect()
+    }
+
+    fn shard(&self, id: ids::SessionId) -> &Mutex<Vec<Arc<AgentSession>>> {
+        let index = usize::try_from(id.0 % SHARD_COUNT).unwrap_or(0);
+        &self.shards[index]
+    }
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -3,6 +3,9 @@
 use std::{net, time};
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+const MAX_DRAIN: time::Duration = time::Duration::from_hours(1);
 
 /// Settings of one agent process.
 #[serde_with::serde_as]
@@ -14,11 +17,25 @@
     /// Data centre of this instance.
     pub data_centre: String,
     /// Engines in front of which the agent stands.
+    #[serde(default)]
     pub replicas: Vec<ReplicaSettings>,
+    /// Plain services in front of which the agent stands.
+    #[serde(default)]
+    pub services: Vec<ServiceSettings>,
     /// Time that a graceful shutdown may take, in seconds.
     #[serde_as(as = "serde_with::DurationSeconds<u64>")]
     #[serde(default = "default_drain", rename = "drain_seconds")]
     pub drain: time::Duration,
+    /// Agents that share the weight store, this one included; until peers report their demand,
+    /// each takes an equal share of the store's rate.
+    #[serde(default = "default_agents")]
+    pub agents: u32,
+    /// Requests that wait at one replica before further ones are refused.
+    #[serde(default = "default_queue_limit")]
+    pub queue_limit: usize,
+    /// Bytes of finished answers that are kept for repeated keys; the oldest are dropped first.
+    #[serde(default = "default_kept_bytes")]
+    pub kept_bytes: usize,
 }
 
 /// Settings of one engine.
@@ -33,10 +50,172 @@
     pub adapter_slots: u16,
     /// Largest batch, in requests.
     pub batch_limit: u16,
-    /// Whether the engine refuses orders with an old fencing number.
+    /// Whether the engine refuses commands with an old fencing number.
     pub checks_fencing: bool,
 }
 
+/// Settings of one plain service.
+#[serde_with::serde_as]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Name under which callers address the service.
+    pub name: String,
+    /// Address of the service.
+    pub address: net::SocketAddr,
+    /// Time until the head of an answer, in seconds.
+    #[serde_as(as = "serde_with::DurationSeconds<u64>")]
+    #[serde(default = "default_timeout", rename = "timeout_seconds")]
+    pub timeout: time::Duration,
+}
+
+/// One fault of the settings.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{path}: {problem}; {remedy}"))]
+pub struct SettingsFault {
+    /// Place in the file, for example `replicas[0].address`.
+    pub path: String,
+    pub problem: String,
+    pub remedy: &'static str,
+}
+
+impl AgentSettings {
+    /// Settings for these engines, with defaults for the rest.
+    #[must_use]
+    pub fn new(listen: net::SocketAddr, data_centre: &str, replicas: Vec<ReplicaSettings>) -> Self {
+        Self {
+            listen,
+            data_centre: data_centre.to_owned(),
+            replicas,
+            services: Vec::new(),
+            drain: default_drain(),
+            agents: default_agents(),
+            queue_limit: default_queue_limit(),
+            kept_bytes: default_kept_bytes(),
+        }
+    }
+
+    /// All faults, in the order of the fields.
+    #[must_use]
+    pub fn validate(&self) -> Vec<SettingsFault> {
+        let mut faults = FaultList::default();
+        faults.check_address("listen", self.listen, true);
+        if self.data_centre.is_empty() {
+            faults.add(
+                "data_centre",
+                "is empty",
+                "name the data centre of the instance",
+            );
+        }
+        if self.replicas.is_empty() && self.services.is_empty() {
+            let remedy = "list at least one engine, or one service under `services`";
+            faults.add("replicas", "is empty", remedy);
+        }
+        for (index, replica) in self.replicas.iter().enumerate() {
+            replica.validate(&format!("replicas[{index}]"), &mut faults);
+        }
+        for (index, service) in self.services.iter().enumerate() {
+            let path = format!("services[{index}]");
+            service.validate(&path, &mut faults);
+            let is_repeated = self.services[..index]
+                .iter()
+                .any(|other| other.name == service.name);
+            if is_repeated {
+                let remedy = "give every service its own name";
+                faults.add(&format!("{path}.name"), "is used twice", remedy);
+            }
+        }
+        if self.drain.is_zero() || self.drain > MAX_DRAIN {
+            faults.add("drain_seconds", "is out of range", "use 1 to 3600");
+        }
+        if self.agents == 0 {
+            faults.add("agents", "is 0", "count this agent as well");
+        }
+        if self.queue_limit == 0 {
+            faults.add("queue_limit", "is 0", "allow at least one waiting request");
+        }
+        faults.faults
+    }
+}
+
+impl ReplicaSettings {
+    fn validate(&self, path: &str, faults: &mut FaultList) {
+        faults.check_address(&format!("{path}.address"), self.address, false);
+        if self.base_model.is_empty() {
+            let remedy = "name the model that the engine serves";
+            faults.add(&format!("{path}.base_model"), "is empty", remedy);
+        }
+        if self.adapter_slots == 0 {
+            let remedy = "give the number of adapters that fit into the engine";
+            faults.add(&format!("{path}.adapter_slots"), "is 0", remedy);
+        }
+        if self.batch_limit == 0 {
+            let remedy = "give the largest batch of the engine, in requests";
+            faults.add(&format!("{path}.batch_limit"), "is 0", remedy);
+        }
+    }
+}
+
+impl ServiceSettings {
+    fn validate(&self, path: &str, faults: &mut FaultList) {
+        if self.name.is_empty() {
+            faults.add(&format!("{path}.name"), "is empty", "name the service");
+        }
+        faults.check_address(&format!("{path}.address"), self.address, false);
+        if self.timeout.is_zero() {
+            let remedy = "give the time until the service answers, in seconds";
+            faults.add(&format!("{path}.timeout_seconds"), "is 0", remedy);
+        }
+    }
+}
+
+#[derive(Default)]
+struct FaultList {
+    faults: Vec<SettingsFault>,
+    addresses: Vec<net::SocketAddr>,
+}
+
+impl FaultList {
+    fn add(&mut self, path: &str, problem: &str, remedy: &'static str) {
+        self.faults.push(SettingsFault {
+            path: path.to_owned(),
+            problem: problem.to_owned(),
+            remedy,
+        });
+    }
+
+    /// A listen address may have port 0, for which the operating system chooses a free port.
+    fn check_address(&mut self, path: &str, address: net::SocketAddr, is_listen: bool) {
+        let ip = address.ip();
+        let is_routable = !ip.is_multicast() && (is_listen || !ip.is_unspecified());
+        if !is_routable || (address.port() == 0 && !is_listen) {
+            let problem = format!("{address} cannot be connected to");
+            self.add(path, &problem, "use the IP address and port of one process");
+        }
+        if address.port() != 0 && self.addresses.contains(&address) {
+            let problem = format!("{address} is used twice");
+            self.add(path, &problem, "give every process its own address");
+        }
+        self.addresses.push(address);
+    }
+}
+
 fn default_drain() -> time::Duration {
     time::Duration::from_secs(30)
 }
+
+fn default_agents() -> u32 {
+    1
+}
+
+fn default_queue_limit() -> usize {
+    1024
+}
+
+fn default_kept_bytes() -> usize {
+    8 << 20
+}
+
+fn default_timeout() -> time::Duration {
+    time::Duration::from_secs(30)
+}
--- a/crates/agent/src/streams.rs
+++ b/crates/agent/src/streams.rs
@@ -19,6 +19,14 @@
     cancelled: sync::Notify,
 }
 
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum StreamPhase {
+    Open,
+    /// The producer stops.
+    Cancelled,
+    Ended,
+}
+
 struct StreamBuffer {
     session: ids::SessionId,
     /// Index of the first part that is kept.
@@ -26,9 +34,14 @@
     parts: VecDeque<message::StreamPart>,
     /// Next part to send in the session.
     sent: u64,
+    /// Next part that the entry has not received.
+    received: u64,
     consumed: u64,
-    ended: bool,
-    cancelled: bool,
+    phase: StreamPhase,
+    /// Whether the session's list of ready streams holds this stream.
+    listed: bool,
+    /// Whether the session was closed, so that no one reads the stream.
+    abandoned: bool,
 }
 
 impl OutputStream {
@@ -40,9 +53,11 @@
             base: 0,
             parts: VecDeque::new(),
             sent: 0,
+            received: 0,
             consumed: 0,
-            ended: false,
-            cancelled: false,
+            phase: StreamPhase::Open,
+            listed: false,
+            abandoned: false,
         };
         Self {
             request,
@@ -71,7 +86,7 @@
             let opened = self.window.notified();
             {
                 let mut buffer = self.buffer.lock();
-                if buffer.cancelled {
+                if buffer.phase != StreamPhase::Open {
                     return false;
                 }
                 if buffer.next() < buffer.consumed + message::STREAM_WINDOW {
@@ -86,16 +101,21 @@
     /// Appends the last part, for which the window does not count.
     pub fn end(&self, part: message::StreamPart) {
         let mut buffer = self.buffer.lock();
-        if buffer.ended {
+        if buffer.phase == StreamPhase::Ended {
             return;
         }
         buffer.parts.push_back(part);
-        buffer.ended = true;
+        buffer.phase = StreamPhase::Ended;
     }
 
     /// Makes the producer stop.
     pub fn cancel(&self) {
-        self.buffer.lock().cancelled = true;
+        {
+            let mut buffer = self.buffer.lock();
+            if buffer.phase == StreamPhase::Open {
+                buffer.phase = StreamPhase::Cancelled;
+            }
+        }
         self.window.notify_waiters();
         self.cancelled.notify_waiters();
     }
@@ -104,7 +124,7 @@
     pub async fn wait_cancelled(&self) {
         loop {
             let notified = self.cancelled.notified();
-            if self.buffer.lock().cancelled {
+            if self.buffer.lock().phase == StreamPhase::Cancelled {
                 return;
             }
             notified.await;
@@ -114,7 +134,9 @@
     /// Records what the entry has received and the caller has consumed.
     pub fn acknowledge(&self, received: u64, consumed: u64) {
         let mut buffer = self.buffer.lock();
-        buffer.sent = received.clamp(buffer.base, buffer.next());
+        let received = received.clamp(buffer.base, buffer.next());
+        buffer.sent = received;
+        buffer.received = buffer.received.max(received);
         buffer.consumed = consumed.max(buffer.consumed);
         if !self.keep {
             while buffer.base < received && !buffer.parts.is_empty() {
@@ -134,40 +156,103 @@
         }
         buffer.session = session;
         buffer.sent = 0;
+        buffer.received = 0;
         buffer.consumed = 0;
+        buffer.listed = false;
         true
     }
 
-    /// Takes parts that were not sent yet, up to `limit`.
-    pub fn take_unsent(&self, limit: usize, events: &mut Vec<message::StreamEvent>) {
+    /// Takes parts that were not sent yet and returns their bytes. Stops at `limit` events in
+    /// total, or once `bytes` are taken.
+    pub fn take_unsent(
+        &self,
+        limit: usize,
+        bytes: usize,
+        events: &mut Vec<message::StreamEvent>,
+    ) -> usize {
         let mut buffer = self.buffer.lock();
+        buffer.listed = false;
         let mut taken = 0;
-        while taken < limit {
-            let Some(part) = buffer.unsent() else { return };
+        while events.len() < limit && taken < bytes {
+            let Some(part) = buffer.unsent() else { break };
+            taken += part_bytes(part);
             events.push(message::StreamEvent {
                 request: self.request,
                 index: buffer.sent,
                 part: part.clone(),
             });
             buffer.sent += 1;
-            taken += 1;
         }
+        taken
+    }
+
+    /// Whether the stream has to be added to its session's list of ready streams; counts it as
+    /// listed if so.
+    pub fn list(&self) -> bool {
+        let mut buffer = self.buffer.lock();
+        if buffer.listed || buffer.unsent().is_none() {
+            return false;
+        }
+        buffer.listed = true;
+        true
+    }
+
+    /// Lets the producer of a kept answer run to its end while no session reads it.
+    pub fn release_window(&self) {
+        self.buffer.lock().consumed = u64::MAX - message::STREAM_WINDOW;
+        self.window.notify_waiters();
+    }
+
+    /// Marks the stream as no longer read; true when it has ended already.
+    pub fn abandon(&self) -> bool {
+        let mut buffer = self.buffer.lock();
+        buffer.abandoned = true;
+        buffer.phase == StreamPhase::Ended
+    }
+
+    /// Whether no one reads the stream any more.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        self.buffer.lock().abandoned
+    }
+
+    /// Whether all parts are retained after they were received.
+    #[must_use]
+    pub fn is_kept(&self) -> bool {
+        self.keep
     }
 
-    /// Whether a part waits to be sent.
+    /// Whether the last part was appended.
     #[must_use]
-    pub fn has_unsent(&self) -> bool {
-        self.buffer.lock().unsent().is_some()
+    pub fn is_ended(&self) -> bool {
+        self.buffer.lock().phase == StreamPhase::Ended
     }
 
     /// Whether the answer ended and all of it was received.
     #[must_use]
-    pub fn is_drained(&self) -> bool {
+    pub fn is_delivered(&self) -> bool {
         let buffer = self.buffer.lock();
-        buffer.ended && buffer.parts.is_empty()
+        buffer.phase == StreamPhase::Ended && buffer.received == buffer.next()
+    }
+
+    /// Bytes of the parts that are held.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.buffer.lock().parts.iter().map(part_bytes).sum()
     }
 }
 
+/// Size of a part with its fixed fields.
+fn part_bytes(part: &message::StreamPart) -> usize {
+    let content = match part {
+        message::StreamPart::Text { text, .. } => text.len(),
+        message::StreamPart::Bytes(bytes) => bytes.len(),
+        message::StreamPart::Failed(failure) => failure.message.len(),
+        message::StreamPart::Head { .. } | message::StreamPart::Finished { .. } => 0,
+    };
+    content + size_of::<message::StreamPart>()
+}
+
 impl StreamBuffer {
     fn next(&self) -> u64 {
         self.base + self.parts.len() as u64
@@ -203,11 +288,11 @@
             assert!(stream.push(text(part)).await);
         }
         let mut events = Vec::new();
-        stream.take_unsent(8, &mut events);
+        stream.take_unsent(8, usize::MAX, &mut events);
         assert_eq!(events.len(), 3);
         stream.acknowledge(1, 0);
         events.clear();
-        stream.take_unsent(8, &mut events);
+        stream.take_unsent(8, usize::MAX, &mut events);
         let indexes: Vec<_> = events.iter().map(|event| event.index).collect();
         assert_eq!(indexes, [1, 2]);
     }
--- a/crates/endpoints/src/client.rs
+++ b/crates/endpoints/src/client.rs
@@ -40,11 +40,19 @@
 }
 
 impl EndpointError {
+    /// Whether the connection was lost, so that the answer may continue on a new one.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        matches!(self, Self::Interrupted { .. } | Self::Timeout { .. })
+    }
+
     /// Whether the endpoint certainly did not start the work.
     #[must_use]
     pub fn is_not_run(&self) -> bool {
         match self {
-            Self::Unreachable { .. } | Self::Refused { .. } | Self::Fenced { .. } => true,
+            Self::Unreachable { .. } | Self::Fenced { .. } => true,
+            // Only 503 among the server errors states that the work was not accepted.
+            Self::Refused { status, .. } => *status < 500 || *status == 503,
             Self::Interrupted { .. }
             | Self::Malformed { .. }
             | Self::Timeout { .. }
@@ -111,9 +119,20 @@
         fencing: u64,
     ) -> future::BoxFuture<'a, Result<(), EndpointError>>;
 
-    /// Starts a generation. Dropping the stream cancels it.
+    /// Starts a generation. It continues when the stream is dropped, until [`Self::cancel`] or
+    /// until the engine gives up waiting for a reader.
     fn generate(
         &self,
         generation: Generation,
     ) -> future::BoxFuture<'_, Result<TokenStream, EndpointError>>;
+
+    /// Continues the stream of a started generation at text event `from`.
+    fn resume<'a>(
+        &'a self,
+        generation: &'a Generation,
+        from: u64,
+    ) -> future::BoxFuture<'a, Result<TokenStream, EndpointError>>;
+
+    /// Stops a generation.
+    fn cancel(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>>;
 }
--- /dev/null
+++ b/crates/endpoints/src/event_reader.rs
@@ -0,0 +1,213 @@
+//! Server-sent events of a generation.
+
+use std::time;
+
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+use crate::client::{self, EndpointError};
+
+/// Silence after which a stream counts as broken; heartbeats come more often.
+pub const STREAM_SILENCE: time::Duration = time::Duration::from_secs(2);
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Reads the events of `model` from a body that starts at text event `from`.
+#[must_use]
+pub fn read(endpoint: String, model: String, body: Incoming, from: u64) -> client::TokenStream {
+    let reader = EventReader {
+        endpoint,
+        model,
+        body,
+        buffer: Vec::new(),
+        done: false,
+        expected: from,
+        event_id: None,
+        needs_id: from > 0,
+    };
+    let events = futures::stream::unfold(reader, |mut reader| async move {
+        let event = reader.next().await?;
+        Some((event, reader))
+    });
+    events.boxed()
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    model: String,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: Option<String>,
+    delta: Option<Delta>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+}
+
+/// Reader of server-sent events that checks the model name of every chunk.
+struct EventReader {
+    endpoint: String,
+    model: String,
+    body: Incoming,
+    buffer: Vec<u8>,
+    done: bool,
+    /// Number of the next text event.
+    expected: u64,
+    /// Number that the engine gave to the current event.
+    event_id: Option<u64>,
+    /// Whether the engine must number its events. Without numbers, a stream that starts again
+    /// could not be told from one that continues.
+    needs_id: bool,
+}
+
+impl EventReader {
+    async fn next(&mut self) -> Option<Result<client::TokenEvent, EndpointError>> {
+        while !self.done {
+            if let Some(line) = self.take_line() {
+                match self.parse(&line) {
+                    Ok(None) => continue,
+                    Ok(Some(event)) => return Some(Ok(event)),
+                    Err(error) => return Some(Err(self.fail(error))),
+                }
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                let error = self.malformed("an event is longer than 1 MiB");
+                return Some(Err(self.fail(error)));
+            }
+            let reading = tokio::time::timeout(STREAM_SILENCE, self.body.frame());
+            let Ok(frame) = reading.await else {
+                let error = EndpointError::Timeout {
+                    endpoint: self.endpoint.clone(),
+                    limit: STREAM_SILENCE,
+                };
+                return Some(Err(self.fail(error)));
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(error)) => {
+                    let error = self.interrupted(&error.to_string());
+                    return Some(Err(self.fail(error)));
+                }
+                None => {
+                    let error = self.interrupted("the stream ended without [DONE]");
+                    return Some(Err(self.fail(error)));
+                }
+            }
+        }
+        None
+    }
+
+    fn take_line(&mut self) -> Option<Vec<u8>> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
+        while line.last().is_some_and(u8::is_ascii_whitespace) {
+            line.pop();
+        }
+        Some(line)
+    }
+
+    fn parse(&mut self, line: &[u8]) -> Result<Option<client::TokenEvent>, EndpointError> {
+        if let Some(id) = line.strip_prefix(b"id:") {
+            let id = str::from_utf8(id).unwrap_or_default().trim();
+            self.event_id = id.parse().ok();
+            return Ok(None);
+        }
+        let Some(data) = line.strip_prefix(b"data:") else {
+            return Ok(None);
+        };
+        let data = data.trim_ascii();
+        if data == b"[DONE]" {
+            self.done = true;
+            return Ok(None);
+        }
+        let chunk: Chunk =
+            serde_json::from_slice(data).map_err(|error| self.malformed(&error.to_string()))?;
+        if chunk.model != self.model {
+            let message = format!("asked for {} but {} answered", self.model, chunk.model);
+            return Err(EndpointError::WrongAdapter {
+                endpoint: self.endpoint.clone(),
+                message,
+            });
+        }
+        match chunk_event(chunk) {
+            Some(event @ client::TokenEvent::Text { .. }) => Ok(self.is_next()?.then_some(event)),
+            event => Ok(event),
+        }
+    }
+
+    /// Whether the current text event is the next one; repeated ones are passed over.
+    fn is_next(&mut self) -> Result<bool, EndpointError> {
+        let id = self.event_id.take();
+        if id.is_none() && self.needs_id {
+            return Err(self.malformed("a continued stream lacks event numbers"));
+        }
+        let id = id.unwrap_or(self.expected);
+        if id > self.expected {
+            let message = format!("event {} is missing before {id}", self.expected);
+            return Err(self.malformed(&message));
+        }
+        let is_next = id == self.expected;
+        self.expected += u64::from(is_next);
+        Ok(is_next)
+    }
+
+    fn fail(&mut self, error: EndpointError) -> EndpointError {
+        self.done = true;
+        error
+    }
+
+    fn interrupted(&self, message: &str) -> EndpointError {
+        EndpointError::Interrupted {
+            endpoint: self.endpoint.clone(),
+            message: message.to_owned(),
+        }
+    }
+
+    fn malformed(&self, message: &str) -> EndpointError {
+        EndpointError::Malformed {
+            endpoint: self.endpoint.clone(),
+            message: message.to_owned(),
+        }
+    }
+}
+
+fn chunk_event(chunk: Chunk) -> Option<client::TokenEvent> {
+    let choice = chunk.choices.into_iter().next();
+    let finish_reason = choice
+        .as_ref()
+        .and_then(|choice| choice.finish_reason.clone());
+    if finish_reason.is_some() || chunk.usage.is_some() {
+        let usage = chunk.usage.unwrap_or(Usage {
+            prompt_tokens: 0,
+            completion_tokens: 0,
+        });
+        return Some(client::TokenEvent::Finished {
+            finish_reason,
+            prompt_tokens: usage.prompt_tokens,
+            completion_tokens: usage.completion_tokens,
+        });
+    }
+    let choice = choice?;
+    let delta = choice.delta.and_then(|delta| delta.content);
+    let text = choice.text.or(delta)?;
+    Some(client::TokenEvent::Text { text, tokens: 1 })
+}
--- a/crates/endpoints/src/http_engine.rs
+++ b/crates/endpoints/src/http_engine.rs
@@ -4,12 +4,16 @@
 //! /v1/load_lora_adapter` and `POST /v1/unload_lora_adapter` with a JSON object `lora_name`;
 //! the header `x-fencing-number` carries the fencing number, and status 412 with the current
 //! number in the same header refuses an old one. `GET /v1/status` reports the state.
+//!
+//! `GET /v1/requests/{id}/events?from=N` continues an interrupted stream at text event N; each of
+//! its events carries its number in the `id` field. `POST /v1/requests/{id}/cancel` stops a
+//! generation. Comment lines are heartbeats.
 
 use std::{net, time};
 
 use bytes::Bytes;
 use decisions::{ids, units};
-use futures::{StreamExt, future};
+use futures::future;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -17,9 +21,11 @@
     client::legacy::{self, connect},
     rt,
 };
-use serde::Deserialize;
 
-use crate::client::{self, EndpointError, ModelEngine};
+use crate::{
+    client::{self, EndpointError, ModelEngine},
+    event_reader,
+};
 
 /// Header with the fencing number of an order.
 pub const FENCING_HEADER: &str = "x-fencing-number";
@@ -27,7 +33,8 @@
 pub const REQUEST_HEADER: &str = "x-request-id";
 const STATUS_LIMIT: time::Duration = time::Duration::from_secs(2);
 const ORDER_LIMIT: time::Duration = time::Duration::from_secs(30);
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Time for the head of a generation's answer, which includes the engine's own short queue.
+const START_LIMIT: time::Duration = time::Duration::from_secs(10);
 
 /// Engine reached over HTTP.
 pub struct HttpEngine {
@@ -160,19 +167,30 @@
         let builder = self
             .request(Method::POST, generation.path)
             .header(REQUEST_HEADER, generation.request.to_string());
-        let response = self.send(builder, body).await?;
-        let reader = EventReader {
-            endpoint: self.address.to_string(),
-            model,
-            body: response.into_body(),
-            buffer: Vec::new(),
-            done: false,
-        };
-        let events = futures::stream::unfold(reader, |mut reader| async move {
-            let event = reader.next().await?;
-            Some((event, reader))
-        });
-        Ok(events.boxed())
+        let response = self.within(START_LIMIT, self.send(builder, body)).await?;
+        Ok(self.read_events(model, response.into_body(), 0))
+    }
+
+    async fn continue_at(
+        &self,
+        generation: &client::Generation,
+        from: u64,
+    ) -> Result<client::TokenStream, EndpointError> {
+        let path = format!("/v1/requests/{}/events?from={from}", generation.request);
+        let sending = self.send(self.request(Method::GET, &path), Vec::new());
+        let response = self.within(event_reader::STREAM_SILENCE, sending).await?;
+        let model = generation.adapter.to_string();
+        Ok(self.read_events(model, response.into_body(), from))
+    }
+
+    async fn stop(&self, request: ids::RequestId) -> Result<(), EndpointError> {
+        let path = format!("/v1/requests/{request}/cancel");
+        let sending = self.send(self.request(Method::POST, &path), Vec::new());
+        self.within(STATUS_LIMIT, sending).await.map(drop)
+    }
+
+    fn read_events(&self, model: String, body: Incoming, from: u64) -> client::TokenStream {
+        event_reader::read(self.address.to_string(), model, body, from)
     }
 
     fn interrupted(&self, error: &dyn std::error::Error) -> EndpointError {
@@ -217,6 +235,18 @@
     ) -> future::BoxFuture<'_, Result<client::TokenStream, EndpointError>> {
         Box::pin(self.start(generation))
     }
+
+    fn resume<'a>(
+        &'a self,
+        generation: &'a client::Generation,
+        from: u64,
+    ) -> future::BoxFuture<'a, Result<client::TokenStream, EndpointError>> {
+        Box::pin(self.continue_at(generation, from))
+    }
+
+    fn cancel(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>> {
+        Box::pin(self.stop(request))
+    }
 }
 
 /// Engines serve the lowest number first.
@@ -227,144 +257,3 @@
         units::Priority::Low => 1,
     }
 }
-
-#[derive(Deserialize)]
-struct Chunk {
-    model: String,
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<Usage>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    text: Option<String>,
-    delta: Option<Delta>,
-    finish_reason: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct Delta {
-    content: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct Usage {
-    prompt_tokens: u32,
-    completion_tokens: u32,
-}
-
-/// Reader of server-sent events that checks the model name of every chunk.
-struct EventReader {
-    endpoint: String,
-    model: String,
-    body: Incoming,
-    buffer: Vec<u8>,
-    done: bool,
-}
-
-impl EventReader {
-    async fn next(&mut self) -> Option<Result<client::TokenEvent, EndpointError>> {
-        while !self.done {
-            if let Some(line) = self.take_line() {
-                match self.parse(&line) {
-                    Ok(None) => continue,
-                    Ok(Some(event)) => return Some(Ok(event)),
-                    Err(error) => return Some(Err(self.fail(error))),
-                }
-            }
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                let error = self.malformed("an event is longer than 1 MiB");
-                return Some(Err(self.fail(error)));
-            }
-            let frame = self.body.frame().await;
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
-                    }
-                }
-                Some(Err(error)) => {
-                    let error = self.interrupted(&error.to_string());
-                    return Some(Err(self.fail(error)));
-                }
-                None => {
-                    let error = self.interrupted("the stream ended without [DONE]");
-                    return Some(Err(self.fail(error)));
-                }
-            }
-        }
-        None
-    }
-
-    fn take_line(&mut self) -> Option<Vec<u8>> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
-        let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
-        while line.last().is_some_and(u8::is_ascii_whitespace) {
-            line.pop();
-        }
-        Some(line)
-    }
-
-    fn parse(&mut self, line: &[u8]) -> Result<Option<client::TokenEvent>, EndpointError> {
-        let Some(data) = line.strip_prefix(b"data:") else {
-            return Ok(None);
-        };
-        let data = data.trim_ascii();
-        if data == b"[DONE]" {
-            self.done = true;
-            return Ok(None);
-        }
-        let chunk: Chunk =
-            serde_json::from_slice(data).map_err(|error| self.malformed(&error.to_string()))?;
-        if chunk.model != self.model {
-            let message = format!("asked for {} but {} answered", self.model, chunk.model);
-            return Err(EndpointError::WrongAdapter {
-                endpoint: self.endpoint.clone(),
-                message,
-            });
-        }
-        Ok(chunk_event(chunk))
-    }
-
-    fn fail(&mut self, error: EndpointError) -> EndpointError {
-        self.done = true;
-        error
-    }
-
-    fn interrupted(&self, message: &str) -> EndpointError {
-        EndpointError::Interrupted {
-            endpoint: self.endpoint.clone(),
-            message: message.to_owned(),
-        }
-    }
-
-    fn malformed(&self, message: &str) -> EndpointError {
-        EndpointError::Malformed {
-            endpoint: self.endpoint.clone(),
-            message: message.to_owned(),
-        }
-    }
-}
-
-fn chunk_event(chunk: Chunk) -> Option<client::TokenEvent> {
-    let choice = chunk.choices.into_iter().next();
-    let finish_reason = choice
-        .as_ref()
-        .and_then(|choice| choice.finish_reason.clone());
-    if finish_reason.is_some() || chunk.usage.is_some() {
-        let usage = chunk.usage.unwrap_or(Usage {
-            prompt_tokens: 0,
-            completion_tokens: 0,
-        });
-        return Some(client::TokenEvent::Finished {
-            finish_reason,
-            prompt_tokens: usage.prompt_tokens,
-            completion_tokens: usage.completion_tokens,
-        });
-    }
-    let choice = choice?;
-    let delta = choice.delta.and_then(|delta| delta.content);
-    let text = choice.text.or(delta)?;
-    Some(client::TokenEvent::Text { text, tokens: 1 })
-}
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -4,5 +4,7 @@
 //! `OpenAI` routes and the usual orders to load and unload adapters.
 
 pub mod client;
+pub mod event_reader;
 pub mod http_engine;
+pub mod service;
 pub mod stand_in;
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -230,7 +230,7 @@
 }
 
 /// Load of all replicas behind one agent.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReport {
     /// Increases with every report of one incarnation.
     pub sequence: u64,
@@ -242,7 +242,7 @@
 }
 
 /// Load of one replica.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaReport {
     pub replica: u16,
     pub base_model: String,
--- a/src/run.rs
+++ b/src/run.rs
@@ -52,9 +52,13 @@
 
 async fn run_agent(path: &str) -> Result<process::ExitCode, RunError> {
     let settings = settings::read(path).context(SettingsSnafu)?;
-    let server = AgentServer::start(settings).await.context(AgentSnafu)?;
+    let settings: agent::settings::AgentSettings = settings;
+    let logger = telemetry::logs::stderr_logger("agent", &settings.data_centre);
+    let server = AgentServer::start_with(settings, logger)
+        .await
+        .context(AgentSnafu)?;
     wait_for_signal().await.context(RuntimeSnafu)?;
-    server.close();
+    server.close().await;
     Ok(process::ExitCode::SUCCESS)
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -31,20 +31,16 @@
     let engine = stand_in::StandInEngine::start(stand_in::EngineOptions::default())
         .await
         .unwrap();
-    let agent = AgentServer::start(AgentSettings {
-        listen: LOOPBACK,
-        data_centre: "a".into(),
-        replicas: vec![ReplicaSettings {
-            address: engine.address(),
-            base_model: "base".into(),
-            adapter_slots: 8,
-            batch_limit: 16,
-            checks_fencing: true,
-        }],
-        drain: std::time::Duration::from_secs(1),
-    })
-    .await
-    .unwrap();
+    let replicas = vec![ReplicaSettings {
+        address: engine.address(),
+        base_model: "base".into(),
+        adapter_slots: 8,
+        batch_limit: 16,
+        checks_fencing: true,
+    }];
+    let mut settings = AgentSettings::new(LOOPBACK, "a", replicas);
+    settings.drain = std::time::Duration::from_secs(1);
+    let agent = AgentServer::start(settings).await.unwrap();
     let entry = EntryServer::start(EntrySettings {
         listen: LOOPBACK,
         data_centre: "a".into(),
@@ -71,6 +67,6 @@
     assert!(response.contains("[DONE]"), "{response}");
     assert_eq!(engine.counts().generations, 1);
     entry.close().unwrap();
-    agent.close();
+    agent.close().await;
     engine.close();
 }
