--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -3,23 +3,31 @@
 //! It batches continuously: in every step each running request gets one token. The text names the
 //! adapter version and the position, so a caller can check that an answer is whole and its own.
 
-use std::{convert::Infallible, io, net, sync::Arc, time};
+use std::{collections::VecDeque, io, net, sync::Arc, time};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, StreamBody, combinators};
-use hyper::{
-    body::{Frame, Incoming},
-    service,
-};
+use http_body_util::{BodyExt, Full, combinators};
+use hyper::{body::Incoming, service};
 use hyper_util::{rt, server::conn::auto};
 use parking_lot::Mutex;
+use platform::weights::WeightStore;
 use serde::Deserialize;
-use tokio::{net::TcpListener, sync, task};
+use tokio::{
+    net::TcpListener,
+    sync::{self, watch},
+    task,
+};
+
+pub use crate::stand_in_requests::token_text;
+use crate::{client, http_engine, stand_in_requests};
 
-use crate::{client, http_engine};
+pub(crate) type ResponseBody = combinators::UnsyncBoxBody<Bytes, io::Error>;
+/// An error closes the connection without a reply.
+pub(crate) type Reply = io::Result<Response<ResponseBody>>;
 
-type ResponseBody = combinators::UnsyncBoxBody<Bytes, Infallible>;
+/// Status reads that are remembered for a late status.
+const STATUS_KEPT: usize = 64;
 
 /// Behaviour of a stand-in engine.
 #[derive(Clone, Debug)]
@@ -29,9 +37,9 @@
     pub batch_limit: usize,
     /// Time of one step, which gives each running request one token.
     pub step: time::Duration,
-    /// Time to load one adapter.
+    /// Time to load one adapter without a weight store.
     pub load: time::Duration,
-    /// Whether orders with an old fencing number are refused.
+    /// Whether commands with an old fencing number are refused.
     pub checks_fencing: bool,
 }
 
@@ -48,21 +56,57 @@
     }
 }
 
+/// Faults that a stand-in engine shows until they are taken back.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EngineFaults {
+    /// Factor on the time of one step; 0 is 1.
+    pub slow_factor: u32,
+    /// Loads are refused at once.
+    pub refuse_loads: bool,
+    /// Loads fail after their time.
+    pub fail_loads: bool,
+    /// Replies to loads and generations that are lost after the action took effect.
+    pub lost_replies: u32,
+    /// Tokens after which a stream goes silent; a continued stream does not.
+    pub silent_after: Option<u32>,
+    /// Answers name another model.
+    pub wrong_model: bool,
+    /// Age of the reported status.
+    pub late_status: time::Duration,
+}
+
 /// Counters of a stand-in engine, for checks.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineCounts {
     pub loads: u64,
+    pub unloads: u64,
+    /// Unloads of an adapter with requests on it.
+    pub unloads_in_use: u64,
     pub generations: u64,
-    /// Request ids of all generations, in order of start.
+    pub resumes: u64,
+    pub cancelled: u64,
+    pub largest_batch: u16,
+    /// Request ids of the first generations, in order of start.
     pub started: Vec<String>,
 }
 
-struct EngineState {
+pub(crate) struct EngineState {
     options: EngineOptions,
-    adapters: Vec<String>,
-    running: u16,
+    store: Option<Arc<dyn WeightStore>>,
+    pub(crate) faults: EngineFaults,
+    pub(crate) epoch: u64,
+    pub(crate) restarts: watch::Sender<u64>,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) requests: Vec<stand_in_requests::EngineRequest>,
+    pub(crate) running: u16,
     fencing: u64,
-    counts: EngineCounts,
+    pub(crate) counts: EngineCounts,
+    statuses: VecDeque<ReadStatus>,
+}
+
+struct ReadStatus {
+    at: tokio::time::Instant,
+    status: client::EngineStatus,
 }
 
 /// Running stand-in engine.
@@ -78,15 +122,32 @@
     /// # Errors
     /// The error of the operating system when no port can be bound.
     pub async fn start(options: EngineOptions) -> io::Result<Self> {
+        Self::start_with(options, None).await
+    }
+
+    /// Starts an engine that loads adapters from a weight store, if one is given.
+    ///
+    /// # Errors
+    /// The error of the operating system when no port can be bound.
+    pub async fn start_with(
+        options: EngineOptions,
+        store: Option<Arc<dyn WeightStore>>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let batch = Arc::new(sync::Semaphore::new(options.batch_limit));
         let state = Arc::new(Mutex::new(EngineState {
             options,
+            store,
+            faults: EngineFaults::default(),
+            epoch: 1,
+            restarts: watch::channel(1).0,
             adapters: Vec::new(),
+            requests: Vec::new(),
             running: 0,
             fencing: 0,
             counts: EngineCounts::default(),
+            statuses: VecDeque::new(),
         }));
         let task = tokio::spawn(accept(listener, Arc::clone(&state), batch));
         Ok(Self {
@@ -108,12 +169,48 @@
         self.state.lock().counts.clone()
     }
 
+    /// Adapters that the engine holds, sorted.
+    #[must_use]
+    pub fn adapters(&self) -> Vec<String> {
+        self.state.lock().adapters.clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Loses adapters, requests and the fencing number, and breaks all streams off.
+    pub fn restart_cold(&self) {
+        let mut state = self.state.lock();
+        state.epoch += 1;
+        state.adapters.clear();
+        state.requests.clear();
+        state.running = 0;
+        state.fencing = 0;
+        let epoch = state.epoch;
+        state.restarts.send_replace(epoch);
+    }
+
     /// Stops the engine.
     pub fn close(self) {
         self.task.abort();
     }
 }
 
+impl EngineState {
+    pub(crate) fn step(&self) -> time::Duration {
+        self.options.step * self.faults.slow_factor.max(1)
+    }
+
+    /// Whether the reply to the present action is lost.
+    pub(crate) fn lose_reply(&mut self) -> bool {
+        let is_lost = self.faults.lost_replies > 0;
+        self.faults.lost_replies = self.faults.lost_replies.saturating_sub(1);
+        is_lost
+    }
+}
+
 async fn accept(
     listener: TcpListener,
     state: Arc<Mutex<EngineState>>,
@@ -131,7 +228,7 @@
             let handler = service::service_fn(move |request| {
                 let state = Arc::clone(&state);
                 let batch = Arc::clone(&batch);
-                async move { Ok::<_, Infallible>(route(request, state, batch).await) }
+                async move { route(request, state, batch).await }
             });
             let _ = auto::Builder::new(rt::TokioExecutor::new())
                 .http1_only()
@@ -146,43 +243,74 @@
     request: Request<Incoming>,
     state: Arc<Mutex<EngineState>>,
     batch: Arc<sync::Semaphore>,
-) -> Response<ResponseBody> {
+) -> Reply {
     let (parts, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
-        return plain(StatusCode::BAD_REQUEST, "the body is incomplete");
+        return Ok(plain(StatusCode::BAD_REQUEST, "the body is incomplete"));
     };
     let body = body.to_bytes();
     match parts.uri.path() {
-        "/v1/status" => report(&state),
+        "/v1/status" => Ok(report(&state)),
         "/v1/load_lora_adapter" => load(&parts, &body, &state).await,
-        "/v1/unload_lora_adapter" => unload(&parts, &body, &state),
-        "/v1/completions" => generate(&parts, &body, state, batch, false).await,
-        "/v1/chat/completions" => generate(&parts, &body, state, batch, true).await,
+        "/v1/unload_lora_adapter" => Ok(unload(&parts, &body, &state)),
+        "/v1/completions" => stand_in_requests::generate(&parts, &body, &state, batch, false),
+        "/v1/chat/completions" => stand_in_requests::generate(&parts, &body, &state, batch, true),
+        path => Ok(route_request(path, parts.uri.query(), &state)),
+    }
+}
+
+/// Routes below `/v1/requests/{id}`.
+fn route_request(
+    path: &str,
+    query: Option<&str>,
+    state: &Arc<Mutex<EngineState>>,
+) -> Response<ResponseBody> {
+    let path = path.strip_prefix("/v1/requests/").unwrap_or_default();
+    match path.split_once('/') {
+        Some((id, "events")) => {
+            let from = query.and_then(|query| query.strip_prefix("from=")?.parse().ok());
+            stand_in_requests::resume(state, id, from.unwrap_or(0))
+        }
+        Some((id, "cancel")) => stand_in_requests::cancel(state, id),
         _ => plain(StatusCode::NOT_FOUND, "unknown path"),
     }
 }
 
 fn report(state: &Mutex<EngineState>) -> Response<ResponseBody> {
-    let state = state.lock();
+    let mut state = state.lock();
+    let now = tokio::time::Instant::now();
+    let open = state.requests.iter().filter(|request| request.is_open());
+    let open = u16::try_from(open.count()).unwrap_or(u16::MAX);
     let status = client::EngineStatus {
-        epoch: 1,
+        epoch: state.epoch,
         base_model: state.options.base_model.clone(),
         running: state.running,
-        queued: 0,
+        queued: open.saturating_sub(state.running),
         fencing: state.fencing,
         adapters: state.adapters.clone(),
     };
+    state.statuses.push_back(ReadStatus { at: now, status });
+    let late = state.faults.late_status;
+    while state.statuses.len() > STATUS_KEPT
+        || state
+            .statuses
+            .get(1)
+            .is_some_and(|second| now - second.at >= late)
+    {
+        state.statuses.pop_front();
+    }
+    let status = state.statuses.front().map(|first| &first.status);
     let body = serde_json::to_string(&status).unwrap_or_default();
     plain(StatusCode::OK, &body)
 }
 
 #[derive(Deserialize)]
-struct AdapterOrder {
+struct AdapterCommand {
     lora_name: String,
 }
 
-/// Checks the fencing number of an order and reads its adapter name.
-fn read_order(
+/// Checks the fencing number of a command and reads its adapter name.
+fn read_command(
     parts: &http::request::Parts,
     body: &[u8],
     state: &Mutex<EngineState>,
@@ -192,7 +320,7 @@
         .get(http_engine::FENCING_HEADER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(0);
-    let order: AdapterOrder = serde_json::from_slice(body)
+    let command: AdapterCommand = serde_json::from_slice(body)
         .map_err(|error| Box::new(plain(StatusCode::BAD_REQUEST, &error.to_string())))?;
     let mut state = state.lock();
     if state.options.checks_fencing && fencing < state.fencing {
@@ -204,30 +332,46 @@
         return Err(Box::new(response));
     }
     state.fencing = state.fencing.max(fencing);
-    Ok(order.lora_name)
+    Ok(command.lora_name)
 }
 
-async fn load(
-    parts: &http::request::Parts,
-    body: &[u8],
-    state: &Mutex<EngineState>,
-) -> Response<ResponseBody> {
-    let name = match read_order(parts, body, state) {
+async fn load(parts: &http::request::Parts, body: &[u8], state: &Mutex<EngineState>) -> Reply {
+    let name = match read_command(parts, body, state) {
         Ok(name) => name,
-        Err(response) => return *response,
+        Err(response) => return Ok(*response),
+    };
+    let (faults, duration, store, epoch) = {
+        let state = state.lock();
+        let store = state.store.clone();
+        (state.faults.clone(), state.options.load, store, state.epoch)
     };
-    let duration = state.lock().options.load;
-    tokio::time::sleep(duration).await;
+    if faults.refuse_loads {
+        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "no loads now"));
+    }
+    match store {
+        Some(store) => {
+            if let Err(error) = store.load(&name).await {
+                return Ok(plain(StatusCode::BAD_GATEWAY, &error.to_string()));
+            }
+        }
+        None => tokio::time::sleep(duration).await,
+    }
     let mut state = state.lock();
+    if faults.fail_loads || state.epoch != epoch {
+        return Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, "the load failed"));
+    }
     state.counts.loads += 1;
     let Err(position) = state.adapters.binary_search(&name) else {
-        return plain(StatusCode::OK, "loaded before");
+        return Ok(plain(StatusCode::OK, "loaded before"));
     };
     if state.adapters.len() >= state.options.adapter_slots {
-        return plain(StatusCode::CONFLICT, "no free adapter slot");
+        return Ok(plain(StatusCode::CONFLICT, "no free adapter slot"));
     }
     state.adapters.insert(position, name);
-    plain(StatusCode::OK, "loaded")
+    if state.lose_reply() {
+        return Err(io::Error::other("the reply is lost"));
+    }
+    Ok(plain(StatusCode::OK, "loaded"))
 }
 
 fn unload(
@@ -235,124 +379,26 @@
     body: &[u8],
     state: &Mutex<EngineState>,
 ) -> Response<ResponseBody> {
-    let name = match read_order(parts, body, state) {
+    let name = match read_command(parts, body, state) {
         Ok(name) => name,
         Err(response) => return *response,
     };
     let mut state = state.lock();
-    match state.adapters.binary_search(&name) {
-        Ok(position) => {
-            state.adapters.remove(position);
-            plain(StatusCode::OK, "unloaded")
-        }
-        Err(_) => plain(StatusCode::NOT_FOUND, "not loaded"),
-    }
-}
-
-#[derive(Deserialize)]
-struct GenerateBody {
-    model: String,
-    #[serde(default = "default_max_tokens")]
-    max_tokens: u32,
-}
-
-fn default_max_tokens() -> u32 {
-    16
-}
-
-async fn generate(
-    parts: &http::request::Parts,
-    body: &[u8],
-    state: Arc<Mutex<EngineState>>,
-    batch: Arc<sync::Semaphore>,
-    chat: bool,
-) -> Response<ResponseBody> {
-    let body: GenerateBody = match serde_json::from_slice(body) {
-        Ok(body) => body,
-        Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
+    let Ok(position) = state.adapters.binary_search(&name) else {
+        return plain(StatusCode::NOT_FOUND, "not loaded");
     };
-    let Ok(permit) = batch.acquire_owned().await else {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "stopping");
-    };
-    let step = {
-        let mut state = state.lock();
-        if state.adapters.binary_search(&body.model).is_err() {
-            return plain(StatusCode::NOT_FOUND, "the adapter is not loaded");
-        }
-        let request = parts
-            .headers
-            .get(http_engine::REQUEST_HEADER)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
-            .to_owned();
-        state.counts.generations += 1;
-        state.counts.started.push(request);
-        state.running += 1;
-        state.options.step
-    };
-    let running = RunningRequest {
-        state,
-        _permit: permit,
-    };
-    let tokens = futures::stream::unfold((0, running), move |(index, running)| {
-        let model = body.model.clone();
-        async move {
-            if index > body.max_tokens {
-                return None;
-            }
-            if index < body.max_tokens {
-                tokio::time::sleep(step).await;
-            }
-            let event = event(&model, index, body.max_tokens, chat);
-            let frame = Frame::data(Bytes::from(event));
-            Some((Ok::<_, Infallible>(frame), (index + 1, running)))
-        }
-    });
-    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(tokens)));
-    response.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("text/event-stream"),
-    );
-    response
-}
-
-/// Text of token `index` of an answer by `model`.
-#[must_use]
-pub fn token_text(model: &str, index: u32) -> String {
-    format!("{model}:{index} ")
-}
-
-fn event(model: &str, index: u32, max_tokens: u32, chat: bool) -> String {
-    if index == max_tokens {
-        let usage = serde_json::json!({"prompt_tokens": 1, "completion_tokens": max_tokens});
-        let choice = serde_json::json!({"index": 0, "text": "", "finish_reason": "length"});
-        let chunk = serde_json::json!({"model": model, "choices": [choice], "usage": usage});
-        return format!("data: {chunk}\n\ndata: [DONE]\n\n");
-    }
-    let text = token_text(model, index);
-    let choice = if chat {
-        serde_json::json!({"index": 0, "delta": {"content": text}})
-    } else {
-        serde_json::json!({"index": 0, "text": text})
-    };
-    let chunk = serde_json::json!({"model": model, "choices": [choice]});
-    format!("data: {chunk}\n\n")
-}
-
-/// Place of a request in the batch, given back on drop.
-struct RunningRequest {
-    state: Arc<Mutex<EngineState>>,
-    _permit: sync::OwnedSemaphorePermit,
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.state.lock().running -= 1;
+    state.adapters.remove(position);
+    state.counts.unloads += 1;
+    let mut open = state.requests.iter().filter(|request| request.is_open());
+    if open.any(|request| request.model == name) {
+        state.counts.unloads_in_use += 1;
     }
+    plain(StatusCode::OK, "unloaded")
 }
 
-fn plain(status: StatusCode, body: &str) -> Response<ResponseBody> {
+pub(crate) fn plain(status: StatusCode, body: &str) -> Response<ResponseBody> {
     let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+    let body = body.map_err(|never| match never {});
     let mut response = Response::new(BodyExt::boxed_unsync(body));
     *response.status_mut() = status;
     response
