Test the agent under faults and serve its configuration and metrics

Change: tests drive the agent's RPC interface with an in-memory engine under a paused clock and the agent process with the stand-ins on loopback. An answer with finish reason abort fails. A follower runs when a log is set; /metrics and /healthz are served on an optional address.

--- a/crates/agent/src/generation.rs
+++ b/crates/agent/src/generation.rs
@@ -13,6 +13,9 @@
 /// Pause between two attempts.
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Finish reason of an answer that the engine stopped; it is not complete.
+const ABORTED: &str = "abort";
+
 /// Runs a generation and returns the last part of its stream. `produced` is called after every
 /// part with the tokens in it.
 pub async fn run(
@@ -63,6 +66,15 @@
                 }
                 produced(tokens);
             }
+            Some(Ok(TokenEvent::Finished { finish_reason, .. }))
+                if finish_reason.as_deref() == Some(ABORTED) =>
+            {
+                return failures::failure(
+                    message::RunOutcome::Failed,
+                    message::FailureReason::EndpointFailed,
+                    "the engine stopped the answer before its end",
+                );
+            }
             Some(Ok(TokenEvent::Finished {
                 finish_reason,
                 prompt_tokens,
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -8,7 +8,10 @@
 use decisions::{ids, load_budget};
 use endpoints::{client, service::ServiceCall};
 use futures::{FutureExt, future::BoxFuture};
+use operators::snapshot;
 use peers::{message, service};
+use platform::follower;
+use tokio::sync::watch;
 
 use crate::{replica, reports, requests, services, sessions, streams};
 
@@ -29,6 +32,8 @@
     pub replicas: Vec<Arc<replica::ReplicaDriver>>,
     pub services: Vec<Arc<services::ServiceCaller>>,
     pub reports: reports::ReportBoard,
+    /// Configuration that the follower publishes, if a log is set.
+    pub configuration: Option<watch::Receiver<follower::PublishedState>>,
     pub is_leaving: atomic::AtomicBool,
 }
 
@@ -71,9 +76,10 @@
 
     fn configuration(
         &self,
-        _known_version: u64,
+        known_version: u64,
     ) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
-        async { None }.boxed()
+        let image = self.0.configuration_image(known_version);
+        async move { image }.boxed()
     }
 }
 
@@ -82,6 +88,31 @@
         self.is_leaving.load(atomic::Ordering::SeqCst)
     }
 
+    fn configuration_version(&self) -> u64 {
+        let configuration = self.configuration.as_ref();
+        configuration
+            .and_then(|state| {
+                state
+                    .borrow()
+                    .as_ref()
+                    .map(|state| state.configuration.version())
+            })
+            .unwrap_or(0)
+    }
+
+    fn configuration_image(&self, known_version: u64) -> Option<message::ConfigurationImage> {
+        let state = self.configuration.as_ref()?.borrow().clone()?;
+        if state.configuration.version() <= known_version {
+            return None;
+        }
+        let image = snapshot::encode_image(&state);
+        Some(message::ConfigurationImage {
+            version: image.version,
+            as_of: image.as_of,
+            state: image.state,
+        })
+    }
+
     fn report(&self) -> Arc<message::LoadReport> {
         self.reports.read(&self.replicas, self.is_leaving())
     }
@@ -258,7 +289,7 @@
         message::PollReply::Events {
             events,
             report: is_due.then(|| message::LoadReport::clone(&report)),
-            configuration_version: 0,
+            configuration_version: self.configuration_version(),
         }
     }
 
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,30 +1,34 @@
-//! Agent process: start, background tasks and graceful shutdown.
+//! Agent process: listener, endpoints over HTTP and shutdown.
 
-use std::{
-    sync::{Arc, atomic},
-    time,
-};
+use std::{io, net, sync::Arc, time};
 
 use decisions::ids;
-use endpoints::{client::ModelEngine, http_engine, service::HttpService};
+use endpoints::{
+    client::ModelEngine,
+    http_engine,
+    service::{HttpService, PlainService},
+};
+use futures::future::BoxFuture;
+use operators::snapshot;
 use peers::service;
+use platform::follower;
 use snafu::{ResultExt, Snafu};
-use tokio::task;
-
-use crate::{
-    clock, handler, metrics, replica, reports, requests, services, settings, store_budget,
-};
+use tokio::{net::TcpListener, task};
 
-/// Interval in which sessions and kept answers are checked.
-const SWEEP_STEP: time::Duration = time::Duration::from_millis(500);
-/// Interval in which a shutdown checks whether all streams are delivered.
-const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
+use crate::{assembly, exporter, handler, settings};
 
 /// Reason why an agent cannot start.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
     #[snafu(display("{source}"))]
     Listen { source: service::PeerError },
+    #[snafu(display(
+        "cannot listen on {address} for metrics: {source}; check that no other process uses it"
+    ))]
+    MetricsListen {
+        address: net::SocketAddr,
+        source: io::Error,
+    },
     #[snafu(display("the settings have faults:\n{list}"))]
     Settings { list: String },
     #[snafu(display("{source}"))]
@@ -36,19 +40,13 @@
 /// Running agent process.
 pub struct AgentServer {
     state: Arc<handler::AgentState>,
-    address: std::net::SocketAddr,
+    address: net::SocketAddr,
     drain: time::Duration,
-    metrics: telemetry::metrics::MetricsRegistry,
+    metrics: Arc<telemetry::metrics::MetricsRegistry>,
+    follower: Option<follower::ConfigurationFollower>,
     tasks: task::JoinSet<()>,
 }
 
-/// Outcome of a shutdown.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DrainSummary {
-    /// Requests that were not finished and delivered by the deadline.
-    pub cut_off: usize,
-}
-
 impl AgentServer {
     /// Binds the address and serves entries, without a log.
     ///
@@ -78,18 +76,22 @@
             .await
             .context(ListenSnafu)?;
         let address = listener.address();
+        let exporter = bind_exporter(settings.metrics).await?;
         let metrics = telemetry::metrics::MetricsRegistry::new().context(MetricsSnafu)?;
-        let state = Arc::new(build_state(&settings, logger, &metrics));
-        let first = state.replicas.iter().map(|replica| replica.read_status());
-        futures::future::join_all(first).await;
-        let mut tasks = task::JoinSet::new();
-        for replica in &state.replicas {
-            tasks.spawn(Arc::clone(replica).drive());
-            tasks.spawn(Arc::clone(replica).watch());
-        }
-        tasks.spawn(sweep(Arc::clone(&state)));
+        let metrics = Arc::new(metrics);
+        let follower = settings.log.map(|log| start_follower(log, &logger));
+        let endpoints = http_endpoints(&settings);
+        let mut state = assembly::build(&settings, endpoints, logger, &metrics.meter());
+        state.configuration = follower
+            .as_ref()
+            .map(follower::ConfigurationFollower::state);
+        let state = Arc::new(state);
+        let mut tasks = assembly::run(&state).await;
         let handler = Arc::new(handler::RpcHandler(Arc::clone(&state)));
         tasks.spawn(listener.serve(handler));
+        if let Some(exporter) = exporter {
+            tasks.spawn(exporter::serve(exporter, Arc::clone(&metrics)));
+        }
         telemetry::logs::info(
             &state.context.logger,
             telemetry::events::PROCESS_STARTED,
@@ -100,13 +102,14 @@
             address,
             drain: settings.drain,
             metrics,
+            follower,
             tasks,
         })
     }
 
     /// Address on which the agent listens.
     #[must_use]
-    pub fn address(&self) -> std::net::SocketAddr {
+    pub fn address(&self) -> net::SocketAddr {
         self.address
     }
 
@@ -123,104 +126,57 @@
     }
 
     /// Takes no more work, delivers what is open and stops at the drain deadline at the latest.
-    pub async fn close(mut self) -> DrainSummary {
-        let context = &self.state.context;
-        telemetry::logs::info(
-            &context.logger,
-            telemetry::events::PROCESS_DRAINING,
-            "the agent takes no more work",
-        );
-        self.state.is_leaving.store(true, atomic::Ordering::SeqCst);
-        for session in context.requests.sessions().all() {
-            session.request_report();
-        }
-        let delivered = async {
-            while !context.requests.open_requests().is_empty() {
-                tokio::time::sleep(DRAIN_STEP).await;
-            }
-        };
-        let _ = tokio::time::timeout(self.drain, delivered).await;
-        let open = context.requests.open_requests();
-        for request in &open {
-            context.requests.cancel(*request);
+    pub async fn close(mut self) -> assembly::DrainSummary {
+        let summary = assembly::drain(&self.state, self.drain).await;
+        if let Some(follower) = self.follower {
+            follower.close().await;
         }
-        let cut_off = open.len();
-        if cut_off > 0 {
-            telemetry::logs::warn(
-                &context.logger,
-                telemetry::events::DRAIN_DEADLINE_PASSED,
-                "requests were cut off at the drain deadline",
-            );
-        }
-        telemetry::logs::info(
-            &context.logger,
-            telemetry::events::PROCESS_STOPPED,
-            "the agent stopped",
-        );
         self.tasks.shutdown().await;
-        DrainSummary { cut_off }
+        summary
     }
 }
+async fn bind_exporter(
+    address: Option<net::SocketAddr>,
+) -> Result<Option<TcpListener>, AgentError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await;
+    listener.map(Some).context(MetricsListenSnafu { address })
+}
 
-fn build_state(
-    settings: &settings::AgentSettings,
-    logger: slog::Logger,
-    metrics: &telemetry::metrics::MetricsRegistry,
-) -> handler::AgentState {
-    let clock = clock::AgentClock::start();
-    let incarnation = ids::Incarnation(rand::random());
-    let context = Arc::new(replica::AgentContext {
-        clock,
-        requests: requests::RequestRegistry::new(clock, settings.kept_bytes),
-        budget: store_budget::StoreBudget::new(settings.agents, incarnation.0, clock.now()),
-        metrics: metrics::AgentMetrics::new(&metrics.meter()),
-        logger,
-        queue_limit: settings.queue_limit,
-    });
-    let replicas = (0..).zip(&settings.replicas).map(|(index, replica)| {
+/// Engines and services of the settings, reached over HTTP.
+fn http_endpoints(settings: &settings::AgentSettings) -> assembly::AgentEndpoints {
+    let engines = settings.replicas.iter().map(|replica| {
         let engine: Arc<dyn ModelEngine> = Arc::new(http_engine::HttpEngine::new(replica.address));
-        let context = Arc::clone(&context);
-        let driver = replica::ReplicaDriver::new(index, replica.clone(), engine, context);
-        Arc::new(driver)
+        engine
     });
-    let replicas = replicas.collect();
-    let mut services: Vec<_> = settings
-        .services
-        .iter()
-        .map(|service| {
-            Arc::new(services::ServiceCaller {
-                name: service.name.clone(),
-                service: Arc::new(HttpService::new(service.address, service.timeout)),
-            })
-        })
-        .collect();
-    services.sort_by(|one, other| one.name.cmp(&other.name));
-    let names = services.iter().map(|service| service.name.clone());
-    handler::AgentState {
-        incarnation,
-        data_centre: settings.data_centre.clone(),
-        agents: settings.agents,
-        reports: reports::ReportBoard::new(clock, names.collect()),
-        context,
-        replicas,
-        services,
-        is_leaving: atomic::AtomicBool::new(false),
+    let services = settings.services.iter().map(|service| {
+        let service: Arc<dyn PlainService> =
+            Arc::new(HttpService::new(service.address, service.timeout));
+        service
+    });
+    assembly::AgentEndpoints {
+        engines: engines.collect(),
+        services: services.collect(),
     }
 }
 
-async fn sweep(state: Arc<handler::AgentState>) {
-    loop {
-        tokio::time::sleep(SWEEP_STEP).await;
-        let context = &state.context;
-        for _ in 0..context.requests.sweep() {
-            telemetry::logs::warn(
-                &context.logger,
-                telemetry::events::SESSION_EXPIRED,
-                "an entry has not polled for the session limit",
-            );
-        }
-        let sessions = context.requests.sessions().all().len();
-        let streams = context.requests.open_requests().len();
-        context.metrics.count(sessions, streams);
+/// A starting agent has no peers to ask.
+struct NoImages;
+
+impl follower::ImageSource for NoImages {
+    fn image(&self, _known_version: u64) -> BoxFuture<'_, Option<snapshot::ImageParts>> {
+        Box::pin(async { None })
     }
 }
+
+fn start_follower(log: net::SocketAddr, logger: &slog::Logger) -> follower::ConfigurationFollower {
+    let client = platform::http::PlatformClient::new(log, platform::http::HttpLimits::default());
+    let settings = follower::FollowerSettings {
+        seed: rand::random(),
+        ..follower::FollowerSettings::default()
+    };
+    let log = Arc::new(client);
+    follower::ConfigurationFollower::start(log, Arc::new(NoImages), settings, logger.clone())
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -26,6 +26,12 @@
     #[serde_as(as = "serde_with::DurationSeconds<u64>")]
     #[serde(default = "default_drain", rename = "drain_seconds")]
     pub drain: time::Duration,
+    /// Address of the HTTP endpoint with `/metrics` and `/healthz`; without it there is none.
+    #[serde(default)]
+    pub metrics: Option<net::SocketAddr>,
+    /// Address of the log service; without it the agent has no configuration to hand to peers.
+    #[serde(default)]
+    pub log: Option<net::SocketAddr>,
     /// Agents that share the weight store, this one included; until peers report their demand,
     /// each takes an equal share of the store's rate.
     #[serde(default = "default_agents")]
@@ -89,6 +95,8 @@
             replicas,
             services: Vec::new(),
             drain: default_drain(),
+            log: None,
+            metrics: None,
             agents: default_agents(),
             queue_limit: default_queue_limit(),
             kept_bytes: default_kept_bytes(),
@@ -125,6 +133,12 @@
                 faults.add(&format!("{path}.name"), "is used twice", remedy);
             }
         }
+        if let Some(metrics) = self.metrics {
+            faults.check_address("metrics", metrics, true);
+        }
+        if let Some(log) = self.log {
+            faults.check_address("log", log, false);
+        }
         if self.drain.is_zero() || self.drain > MAX_DRAIN {
             faults.add("drain_seconds", "is out of range", "use 1 to 3600");
         }
--- /dev/null
+++ b/crates/agent/tests/loopback.rs
@@ -0,0 +1,270 @@
+//! Agent process against the stand-ins on loopback.
+
+use std::{net, time};
+
+use agent::{server::AgentServer, settings};
+use decisions::{ids, units};
+use endpoints::{stand_in, stand_in_service};
+use peers::{
+    message::{self, FailureReason, RunOutcome, StreamPart},
+    service::{self, AgentRpcClient},
+};
+use test_case::test_case;
+
+const LOOPBACK: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+struct TestEntry {
+    client: AgentRpcClient,
+    agent: ids::Incarnation,
+    session: ids::SessionId,
+}
+
+fn request(sequence: u64) -> ids::RequestId {
+    ids::RequestId {
+        entry: ids::Incarnation(1),
+        sequence,
+    }
+}
+
+fn completion() -> message::Work {
+    message::Work::Completion {
+        route: message::CompletionRoute::Completions,
+        base_model: "base".into(),
+        adapter: "notes@3".parse().unwrap(),
+        body: br#"{"max_tokens": 5}"#.to_vec(),
+    }
+}
+
+fn call(name: &str) -> message::Work {
+    message::Work::Service {
+        service: name.into(),
+        method: "POST".into(),
+        path: "/orders".into(),
+        content_type: None,
+        body: b"two".to_vec(),
+    }
+}
+
+impl TestEntry {
+    async fn connect(agent: &AgentServer) -> Self {
+        let client = service::connect(agent.address()).await.unwrap();
+        let hello = message::Hello {
+            protocol: message::PROTOCOL_VERSION,
+            entry: ids::Incarnation(1),
+            data_centre: "a".into(),
+        };
+        let reply = client.hello(service::deadline(LIMIT), hello).await.unwrap();
+        let message::HelloReply::Welcome(welcome) = reply else {
+            panic!("{reply:?}");
+        };
+        Self {
+            client,
+            agent: welcome.agent,
+            session: welcome.session,
+        }
+    }
+
+    async fn dispatch(&self, sequence: u64, work: message::Work) -> message::DispatchReply {
+        let dispatch = message::Dispatch {
+            session: self.session,
+            agent: self.agent,
+            request: request(sequence),
+            replica: 0,
+            priority: units::Priority::Normal,
+            operator: "o".into(),
+            operator_weight: 1,
+            prefix: 0,
+            time_left: LIMIT,
+            repeatable: false,
+            keep_answer: false,
+            work,
+        };
+        let call = self.client.dispatch(service::deadline(LIMIT), dispatch);
+        call.await.unwrap()
+    }
+
+    /// Dispatches and reads the whole answer.
+    async fn run(&self, sequence: u64, work: message::Work) -> Vec<StreamPart> {
+        let reply = self.dispatch(sequence, work).await;
+        assert!(
+            matches!(reply, message::DispatchReply::Accepted),
+            "{reply:?}"
+        );
+        self.read(sequence).await
+    }
+
+    async fn read(&self, sequence: u64) -> Vec<StreamPart> {
+        let mut parts = Vec::new();
+        loop {
+            let next = parts.len() as u64;
+            let poll = message::Poll {
+                session: self.session,
+                acks: vec![message::StreamAck {
+                    request: request(sequence),
+                    received: next,
+                    consumed: next,
+                }],
+                wait: message::POLL_WAIT,
+                configuration_version: 0,
+                demand: 0,
+            };
+            let is_ended = matches!(
+                parts.last(),
+                Some(StreamPart::Finished { .. } | StreamPart::Failed(_))
+            );
+            let reply = self.client.poll(service::deadline(LIMIT), poll).await;
+            if is_ended {
+                return parts;
+            }
+            let message::PollReply::Events { events, .. } = reply.unwrap() else {
+                panic!("the session is closed");
+            };
+            for event in events {
+                assert_eq!(event.index, parts.len() as u64);
+                parts.push(event.part);
+            }
+        }
+    }
+}
+
+fn text(parts: &[StreamPart]) -> String {
+    let texts = parts.iter().filter_map(|part| match part {
+        StreamPart::Text { text, .. } => Some(text.as_str()),
+        _ => None,
+    });
+    texts.collect()
+}
+
+fn whole_text() -> String {
+    (0..5)
+        .map(|index| stand_in::token_text("notes@3", index))
+        .collect()
+}
+
+fn failure(parts: &[StreamPart]) -> Option<(RunOutcome, FailureReason)> {
+    match parts.last() {
+        Some(StreamPart::Failed(failure)) => Some((failure.outcome, failure.reason)),
+        _ => None,
+    }
+}
+
+async fn start_pair(options: stand_in::EngineOptions) -> (stand_in::StandInEngine, AgentServer) {
+    let engine = stand_in::StandInEngine::start(options).await.unwrap();
+    let replicas = vec![settings::ReplicaSettings {
+        address: engine.address(),
+        base_model: "base".into(),
+        adapter_slots: 2,
+        batch_limit: 4,
+        checks_fencing: true,
+    }];
+    let mut settings = settings::AgentSettings::new(LOOPBACK, "a", replicas);
+    settings.drain = time::Duration::from_secs(1);
+    let agent = AgentServer::start(settings).await.unwrap();
+    (engine, agent)
+}
+
+// Guards against answers that are lost, repeated or run again when replies are lost after the
+// action took effect (the load's, then the generation's), when a stream goes silent, and when both
+// happen.
+#[test_case(2, None)]
+#[test_case(0, Some(2))]
+#[test_case(2, Some(2))]
+#[test_case(0, Some(0))]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_whole_and_generated_once(lost_replies: u32, silent_after: Option<u32>) {
+    let (engine, agent) = start_pair(stand_in::EngineOptions::default()).await;
+    engine.set_faults(stand_in::EngineFaults {
+        lost_replies,
+        silent_after,
+        ..stand_in::EngineFaults::default()
+    });
+    let entry = TestEntry::connect(&agent).await;
+    let parts = entry.run(1, completion()).await;
+    assert_eq!(text(&parts), whole_text());
+    assert!(matches!(parts.last(), Some(StreamPart::Finished { .. })));
+    let counts = engine.counts();
+    assert_eq!(counts.generations, 1);
+    assert!(counts.resumes > 0);
+    assert_eq!(agent.close().await.cut_off, 0);
+}
+
+// Guards against the answer of another adapter that reaches the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_adapter_is_dropped() {
+    let (engine, agent) = start_pair(stand_in::EngineOptions::default()).await;
+    engine.set_faults(stand_in::EngineFaults {
+        wrong_model: true,
+        ..stand_in::EngineFaults::default()
+    });
+    let entry = TestEntry::connect(&agent).await;
+    let parts = entry.run(1, completion()).await;
+    assert_eq!(text(&parts), "");
+    let (_, reason) = failure(&parts).unwrap();
+    assert_eq!(reason, FailureReason::WrongAdapter);
+    let metrics = agent.metrics();
+    assert!(metrics.contains(r#"reason="wrong_adapter""#), "{metrics}");
+}
+
+// Guards against an answer that starts again after a cold restart of the engine, and against an
+// engine that stays unused afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_restart_fails_the_running_answer_only() {
+    let options = stand_in::EngineOptions {
+        step: time::Duration::from_millis(100),
+        ..stand_in::EngineOptions::default()
+    };
+    let (engine, agent) = start_pair(options).await;
+    let entry = TestEntry::connect(&agent).await;
+    entry.dispatch(1, completion()).await;
+    while engine.counts().generations == 0 {
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    engine.restart_cold();
+    let parts = entry.read(1).await;
+    let (outcome, _) = failure(&parts).unwrap();
+    assert_ne!(outcome, RunOutcome::NotRun);
+    let mut sequence = 2;
+    while text(&entry.run(sequence, completion()).await) != whole_text() {
+        sequence += 1;
+    }
+    assert_eq!(engine.adapters(), ["notes@3"]);
+}
+
+// Guards against a call that may not be repeated and is, and against a wrong outcome.
+#[tokio::test(flavor = "multi_thread")]
+async fn service_is_called_at_most_once() {
+    let (_engine, pair) = start_pair(stand_in::EngineOptions::default()).await;
+    pair.close().await;
+    let orders = stand_in_service::StandInService::start().await.unwrap();
+    let closed = tokio::net::TcpListener::bind(LOOPBACK).await.unwrap();
+    let gone = closed.local_addr().unwrap();
+    drop(closed);
+    let mut settings = settings::AgentSettings::new(LOOPBACK, "a", Vec::new());
+    for (name, address) in [("orders", orders.address()), ("gone", gone)] {
+        settings.services.push(settings::ServiceSettings {
+            name: name.into(),
+            address,
+            timeout: LIMIT,
+        });
+    }
+    let agent = AgentServer::start(settings).await.unwrap();
+    let entry = TestEntry::connect(&agent).await;
+    let parts = entry.run(1, call("orders")).await;
+    assert!(matches!(parts[0], StreamPart::Head { status: 200, .. }));
+    assert_eq!(parts[1], StreamPart::Bytes(b"two".to_vec()));
+    assert!(matches!(parts[2], StreamPart::Finished { .. }));
+    let again = entry.dispatch(1, call("orders")).await;
+    assert!(matches!(again, message::DispatchReply::AlreadyKnown));
+    orders.set_faults(stand_in_service::ServiceFaults {
+        lose_replies: true,
+        ..stand_in_service::ServiceFaults::default()
+    });
+    let parts = entry.run(2, call("orders")).await;
+    assert_eq!(failure(&parts).unwrap().0, RunOutcome::Unknown);
+    let parts = entry.run(3, call("gone")).await;
+    assert_eq!(failure(&parts).unwrap().0, RunOutcome::NotRun);
+    let calls = [1, 2, 3].map(|sequence| orders.calls(&request(sequence).to_string()));
+    assert_eq!(calls, [1, 1, 0]);
+}
--- /dev/null
+++ b/crates/agent/tests/support/mod.rs
@@ -0,0 +1,429 @@
+//! Agent with in-memory engines, driven through its RPC interface under a paused clock.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{sync::Arc, time};
+
+use agent::{assembly, handler, handler::RpcHandler, settings};
+use decisions::{ids, units};
+use endpoints::client::{
+    EndpointError, EngineStatus, Generation, ModelEngine, TokenEvent, TokenStream,
+};
+use futures::{StreamExt, future::BoxFuture};
+use parking_lot::Mutex;
+use peers::{message, service::AgentHandler};
+use telemetry::{logs, metrics};
+
+pub const SECOND: time::Duration = time::Duration::from_secs(1);
+pub const TOKENS: u64 = 5;
+
+/// How the next call that starts a generation fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartFault {
+    Unreachable,
+    LostReply,
+}
+
+#[derive(Default)]
+pub struct FakeState {
+    pub epoch: u64,
+    pub fencing: u64,
+    pub adapters: Vec<String>,
+    pub starts: Vec<ids::RequestId>,
+    pub open: Vec<OpenGeneration>,
+    pub unloads_in_use: u32,
+    pub cancels: u32,
+    pub load_faults: u32,
+    pub start_fault: Option<StartFault>,
+    /// Token before which the next stream breaks off.
+    pub break_at: Option<u64>,
+    pub resumes: Vec<u64>,
+    pub refuses_resume: bool,
+    pub token_step: time::Duration,
+}
+
+pub struct OpenGeneration {
+    pub request: ids::RequestId,
+    pub model: String,
+}
+
+pub struct FakeEngine {
+    pub state: Arc<Mutex<FakeState>>,
+}
+
+fn lost() -> EndpointError {
+    EndpointError::Interrupted {
+        endpoint: "fake".into(),
+        message: "connection reset".into(),
+    }
+}
+
+fn refused(status: u16) -> EndpointError {
+    EndpointError::Refused {
+        endpoint: "fake".into(),
+        status,
+        message: "refused".into(),
+    }
+}
+
+impl FakeEngine {
+    pub fn new() -> Arc<Self> {
+        let state = FakeState {
+            epoch: 1,
+            token_step: time::Duration::from_millis(50),
+            ..FakeState::default()
+        };
+        Arc::new(Self {
+            state: Arc::new(Mutex::new(state)),
+        })
+    }
+
+    fn check_fencing(&self, fencing: u64) -> Result<(), EndpointError> {
+        let mut state = self.state.lock();
+        if fencing < state.fencing {
+            return Err(EndpointError::Fenced {
+                endpoint: "fake".into(),
+                current: state.fencing,
+            });
+        }
+        state.fencing = fencing;
+        Ok(())
+    }
+
+    fn tokens(&self, request: ids::RequestId, from: u64) -> TokenStream {
+        let state = Arc::clone(&self.state);
+        let break_at = state.lock().break_at.take();
+        let tokens = futures::stream::unfold((from, state), move |(index, state)| async move {
+            if index > TOKENS + 1 {
+                return None;
+            }
+            if Some(index) == break_at {
+                return Some((Err(lost()), (TOKENS + 2, state)));
+            }
+            if index == TOKENS {
+                state.lock().open.retain(|open| open.request != request);
+                let event = TokenEvent::Finished {
+                    finish_reason: Some("length".into()),
+                    prompt_tokens: 1,
+                    completion_tokens: 5,
+                };
+                return Some((Ok(event), (TOKENS + 2, state)));
+            }
+            let step = state.lock().token_step;
+            tokio::time::sleep(step).await;
+            let text = index.to_string();
+            Some((Ok(TokenEvent::Text { text, tokens: 1 }), (index + 1, state)))
+        });
+        tokens.boxed()
+    }
+}
+
+impl ModelEngine for FakeEngine {
+    fn status(&self) -> BoxFuture<'_, Result<EngineStatus, EndpointError>> {
+        let state = self.state.lock();
+        let status = EngineStatus {
+            epoch: state.epoch,
+            base_model: "base".into(),
+            fencing: state.fencing,
+            adapters: state.adapters.clone(),
+            ..EngineStatus::default()
+        };
+        Box::pin(async { Ok(status) })
+    }
+
+    fn load_adapter<'a>(
+        &'a self,
+        adapter: &'a ids::AdapterRef,
+        fencing: u64,
+    ) -> BoxFuture<'a, Result<(), EndpointError>> {
+        Box::pin(async move {
+            self.check_fencing(fencing)?;
+            tokio::time::sleep(time::Duration::from_millis(250)).await;
+            let mut state = self.state.lock();
+            if state.load_faults > 0 {
+                state.load_faults -= 1;
+                return Err(refused(500));
+            }
+            state.adapters.push(adapter.to_string());
+            Ok(())
+        })
+    }
+
+    fn unload_adapter<'a>(
+        &'a self,
+        adapter: &'a ids::AdapterRef,
+        fencing: u64,
+    ) -> BoxFuture<'a, Result<(), EndpointError>> {
+        Box::pin(async move {
+            self.check_fencing(fencing)?;
+            let name = adapter.to_string();
+            let mut state = self.state.lock();
+            state.adapters.retain(|other| *other != name);
+            if state.open.iter().any(|open| open.model == name) {
+                state.unloads_in_use += 1;
+            }
+            Ok(())
+        })
+    }
+
+    fn generate(
+        &self,
+        generation: Generation,
+    ) -> BoxFuture<'_, Result<TokenStream, EndpointError>> {
+        Box::pin(async move {
+            let mut state = self.state.lock();
+            let fault = state.start_fault.take();
+            if fault == Some(StartFault::Unreachable) {
+                return Err(EndpointError::Unreachable {
+                    endpoint: "fake".into(),
+                    message: "connection refused".into(),
+                });
+            }
+            let model = generation.adapter.to_string();
+            if !state.adapters.contains(&model) {
+                return Err(refused(404));
+            }
+            let request = generation.request;
+            state.starts.push(request);
+            state.open.push(OpenGeneration { request, model });
+            drop(state);
+            if fault == Some(StartFault::LostReply) {
+                return Err(lost());
+            }
+            Ok(self.tokens(request, 0))
+        })
+    }
+
+    fn resume<'a>(
+        &'a self,
+        generation: &'a Generation,
+        from: u64,
+    ) -> BoxFuture<'a, Result<TokenStream, EndpointError>> {
+        Box::pin(async move {
+            let mut state = self.state.lock();
+            state.resumes.push(from);
+            let is_open = state
+                .open
+                .iter()
+                .any(|open| open.request == generation.request);
+            if state.refuses_resume || !is_open {
+                return Err(refused(404));
+            }
+            drop(state);
+            Ok(self.tokens(generation.request, from))
+        })
+    }
+
+    fn cancel(&self, request: ids::RequestId) -> BoxFuture<'_, Result<(), EndpointError>> {
+        let mut state = self.state.lock();
+        state.cancels += 1;
+        state.open.retain(|open| open.request != request);
+        Box::pin(async { Ok(()) })
+    }
+}
+
+/// Agent in front of one in-memory engine.
+pub struct TestAgent {
+    pub engine: Arc<FakeEngine>,
+    pub state: Arc<handler::AgentState>,
+    pub handler: RpcHandler,
+    _tasks: tokio::task::JoinSet<()>,
+}
+
+pub fn replica_settings(slots: u16, port: u16) -> settings::ReplicaSettings {
+    settings::ReplicaSettings {
+        address: ([127, 0, 0, 1], port).into(),
+        base_model: "base".into(),
+        adapter_slots: slots,
+        batch_limit: 8,
+        checks_fencing: true,
+    }
+}
+
+impl TestAgent {
+    pub async fn start(slots: u16, kept_bytes: usize) -> Self {
+        let listen = ([127, 0, 0, 1], 0).into();
+        let replicas = vec![replica_settings(slots, 1)];
+        let mut settings = settings::AgentSettings::new(listen, "a", replicas);
+        settings.kept_bytes = kept_bytes;
+        let engine = FakeEngine::new();
+        let endpoints = assembly::AgentEndpoints {
+            engines: vec![Arc::clone(&engine) as Arc<dyn ModelEngine>],
+            services: Vec::new(),
+        };
+        let registry = metrics::MetricsRegistry::new().unwrap();
+        let logger = logs::discard_logger();
+        let state = assembly::build(&settings, endpoints, logger, &registry.meter());
+        let state = Arc::new(state);
+        let tasks = assembly::run(&state).await;
+        Self {
+            engine,
+            handler: RpcHandler(Arc::clone(&state)),
+            state,
+            _tasks: tasks,
+        }
+    }
+
+    pub async fn hello(&self) -> ids::SessionId {
+        let hello = message::Hello {
+            protocol: message::PROTOCOL_VERSION,
+            entry: ids::Incarnation(1),
+            data_centre: "a".into(),
+        };
+        match self.handler.hello(hello).await {
+            message::HelloReply::Welcome(welcome) => welcome.session,
+            reply => panic!("{reply:?}"),
+        }
+    }
+
+    pub async fn dispatch(&self, dispatch: message::Dispatch) -> message::DispatchReply {
+        self.handler.dispatch(dispatch).await
+    }
+
+    pub fn work(&self, session: ids::SessionId, sequence: u64, adapter: &str) -> message::Dispatch {
+        message::Dispatch {
+            session,
+            agent: self.state.incarnation,
+            request: request(sequence),
+            replica: 0,
+            priority: units::Priority::Normal,
+            operator: "o".into(),
+            operator_weight: 1,
+            prefix: 0,
+            time_left: 10 * SECOND,
+            repeatable: false,
+            keep_answer: false,
+            work: message::Work::Completion {
+                route: message::CompletionRoute::Completions,
+                base_model: "base".into(),
+                adapter: adapter.parse().unwrap(),
+                body: b"{}".to_vec(),
+            },
+        }
+    }
+
+    pub async fn poll(
+        &self,
+        session: ids::SessionId,
+        acks: Vec<message::StreamAck>,
+    ) -> message::PollReply {
+        self.poll_for(session, acks, message::POLL_WAIT).await
+    }
+
+    pub async fn poll_for(
+        &self,
+        session: ids::SessionId,
+        acks: Vec<message::StreamAck>,
+        wait: time::Duration,
+    ) -> message::PollReply {
+        let poll = message::Poll {
+            session,
+            acks,
+            wait,
+            configuration_version: 0,
+            demand: 0,
+        };
+        self.handler.poll(poll).await
+    }
+
+    /// Polls until the stream of a request ends; checks that no index is missing.
+    pub async fn read(&self, session: ids::SessionId, sequence: u64) -> Vec<message::StreamPart> {
+        let mut parts = Vec::new();
+        let mut acks = Vec::new();
+        for _ in 0..200 {
+            let reply = self.poll(session, acks.clone()).await;
+            let message::PollReply::Events { events, .. } = reply else {
+                panic!("{reply:?}");
+            };
+            let own = events
+                .into_iter()
+                .filter(|e| e.request == request(sequence));
+            for event in own {
+                assert_eq!(event.index, parts.len() as u64);
+                parts.push(event.part);
+            }
+            acks = vec![ack(sequence, parts.len() as u64)];
+            if parts.last().is_some_and(is_last) {
+                self.poll(session, acks).await;
+                return parts;
+            }
+        }
+        panic!("the stream did not end: {parts:?}");
+    }
+}
+
+pub fn request(sequence: u64) -> ids::RequestId {
+    ids::RequestId {
+        entry: ids::Incarnation(1),
+        sequence,
+    }
+}
+
+pub fn ack(sequence: u64, next: u64) -> message::StreamAck {
+    message::StreamAck {
+        request: request(sequence),
+        received: next,
+        consumed: next,
+    }
+}
+
+pub fn is_last(part: &message::StreamPart) -> bool {
+    matches!(
+        part,
+        message::StreamPart::Finished { .. } | message::StreamPart::Failed(_)
+    )
+}
+
+/// Whole answer of the in-memory engine.
+pub fn is_whole(parts: &[message::StreamPart]) -> bool {
+    let texts = parts.iter().filter_map(|part| match part {
+        message::StreamPart::Text { text, .. } => Some(text.as_str()),
+        _ => None,
+    });
+    texts.eq(["0", "1", "2", "3", "4"])
+        && matches!(parts.last(), Some(message::StreamPart::Finished { .. }))
+}
+
+pub fn outcome(parts: &[message::StreamPart]) -> Option<message::RunOutcome> {
+    match parts.last() {
+        Some(message::StreamPart::Failed(failure)) => Some(failure.outcome),
+        _ => None,
+    }
+}
+
+pub fn refusal(reply: &message::DispatchReply) -> Option<message::RefusalReason> {
+    match reply {
+        message::DispatchReply::Refused { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+/// Reads the answers of requests 1 to `count` at the same time.
+pub async fn read_all(
+    agent: &TestAgent,
+    session: ids::SessionId,
+    count: u64,
+) -> Vec<Vec<message::StreamPart>> {
+    let mut answers: Vec<Vec<message::StreamPart>> = Vec::new();
+    answers.resize_with(usize::try_from(count).unwrap(), Vec::new);
+    for _ in 0..400 {
+        let acks = (1..).zip(&answers);
+        let acks = acks.map(|(sequence, parts)| ack(sequence, parts.len() as u64));
+        let reply = agent.poll(session, acks.collect()).await;
+        let message::PollReply::Events { events, .. } = reply else {
+            panic!("{reply:?}");
+        };
+        for event in events {
+            let parts = &mut answers[usize::try_from(event.request.sequence - 1).unwrap()];
+            assert_eq!(event.index, parts.len() as u64);
+            parts.push(event.part);
+        }
+        if answers
+            .iter()
+            .all(|parts| parts.last().is_some_and(is_last))
+        {
+            return answers;
+        }
+    }
+    panic!("not all streams ended: {answers:?}");
+}
