--- a/crates/agent/src/generation.rs
+++ b/crates/agent/src/generation.rs
@@ -25,8 +25,10 @@
     produced: impl Fn(u32),
 ) -> message::StreamPart {
     let part = tokio::select! {
-        part = relay(engine, generation, stream, produced) => part,
+        // First, so that a request cancelled just before its start is not sent to the engine.
+        biased;
         () = stream.wait_cancelled() => failures::cancelled(message::RunOutcome::Failed),
+        part = relay(engine, generation, stream, produced) => part,
     };
     // An engine continues a generation that no one reads, so every early end is told to it.
     let needs_cancel = matches!(&part, message::StreamPart::Failed(failure)
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -95,6 +95,22 @@
     assert!(agent.engine.state.lock().starts.is_empty());
 }
 
+// Guards against a waiting request that starts after its session was closed, which its entry may
+// have answered with `not_run`.
+#[tokio::test(start_paused = true)]
+async fn waiting_request_of_a_closed_session_never_starts() {
+    let agent = TestAgent::start(2, KEPT).await;
+    agent.engine.state.lock().load_time = 20 * SECOND;
+    let session = agent.hello().await;
+    let mut work = agent.work(session, 1, "a@1");
+    work.time_left = 60 * SECOND;
+    agent.dispatch(work).await;
+    tokio::time::sleep(30 * SECOND).await;
+    let engine = agent.engine.state.lock();
+    assert_eq!(engine.adapters, ["a@1"]);
+    assert!(engine.starts.is_empty());
+}
+
 // Guards against a repeated dispatch that runs a request twice, alone and with a lost reply.
 #[test_case(None)]
 #[test_case(Some(StartFault::LostReply))]
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -15,6 +15,9 @@
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
 const LIMIT: time::Duration = time::Duration::from_secs(30);
 
+/// Polls until an answer must have ended; one without news takes 500 ms.
+const MAX_POLLS: u32 = 60;
+
 struct TestEntry {
     client: AgentRpcClient,
     agent: ids::Incarnation,
@@ -97,7 +100,7 @@
 
     async fn read(&self, sequence: u64) -> Vec<StreamPart> {
         let mut parts = Vec::new();
-        loop {
+        for _ in 0..MAX_POLLS {
             let next = parts.len() as u64;
             let poll = message::Poll {
                 session: self.session,
@@ -126,6 +129,7 @@
                 parts.push(event.part);
             }
         }
+        panic!("the stream did not end: {parts:?}");
     }
 }
 
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -40,6 +40,7 @@
     pub resumes: Vec<u64>,
     pub refuses_resume: bool,
     pub token_step: time::Duration,
+    pub load_time: time::Duration,
 }
 
 pub struct OpenGeneration {
@@ -71,6 +72,7 @@
         let state = FakeState {
             epoch: 1,
             token_step: time::Duration::from_millis(50),
+            load_time: time::Duration::from_millis(250),
             ..FakeState::default()
         };
         Arc::new(Self {
@@ -138,7 +140,8 @@
     ) -> BoxFuture<'a, Result<(), EndpointError>> {
         Box::pin(async move {
             self.check_fencing(fencing)?;
-            tokio::time::sleep(time::Duration::from_millis(250)).await;
+            let load_time = self.state.lock().load_time;
+            tokio::time::sleep(load_time).await;
             let mut state = self.state.lock();
             if state.load_faults > 0 {
                 state.load_faults -= 1;
