Test that the agent serves the newest configuration

Cause: the follower in the agent had no test. Change: a test publishes a patch in an in-memory log and reads image and version.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -11,7 +11,7 @@
 use futures::future::BoxFuture;
 use operators::snapshot;
 use peers::service;
-use platform::follower;
+use platform::{follower, log::LogService};
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpListener, task};
 
@@ -79,7 +79,7 @@
         let exporter = bind_exporter(settings.metrics).await?;
         let metrics = telemetry::metrics::MetricsRegistry::new().context(MetricsSnafu)?;
         let metrics = Arc::new(metrics);
-        let follower = settings.log.map(|log| start_follower(log, &logger));
+        let follower = settings.log.map(|log| follow(log_client(log), &logger));
         let endpoints = http_endpoints(&settings);
         let mut state = assembly::build(&settings, endpoints, logger, &metrics.meter());
         state.configuration = follower
@@ -171,12 +171,17 @@
     }
 }
 
-fn start_follower(log: net::SocketAddr, logger: &slog::Logger) -> follower::ConfigurationFollower {
-    let client = platform::http::PlatformClient::new(log, platform::http::HttpLimits::default());
+fn log_client(address: net::SocketAddr) -> Arc<dyn LogService> {
+    let limits = platform::http::HttpLimits::default();
+    Arc::new(platform::http::PlatformClient::new(address, limits))
+}
+
+/// Starts to follow the configuration in a log.
+#[must_use]
+pub fn follow(log: Arc<dyn LogService>, logger: &slog::Logger) -> follower::ConfigurationFollower {
     let settings = follower::FollowerSettings {
         seed: rand::random(),
         ..follower::FollowerSettings::default()
     };
-    let log = Arc::new(client);
     follower::ConfigurationFollower::start(log, Arc::new(NoImages), settings, logger.clone())
 }
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use agent::assembly;
+use operators::{patch, snapshot};
 use peers::{
     message::{CancelReply, DispatchReply, PollReply, RefusalReason, RunOutcome},
     service::AgentHandler,
 };
+use platform::{log::LogService, reader::CONFIGURATION_STREAM, stand_in::log::MemoryLog};
 use support::{SECOND, StartFault, TestAgent, ack, is_whole, outcome, read_all, refusal, request};
 use test_case::test_case;
 
@@ -278,6 +282,34 @@
     assert_eq!(events.first().map(|event| event.index), Some(2));
 }
 
+// Guards against peers that get no configuration while the log is down, or an old version.
+#[tokio::test(start_paused = true)]
+async fn newest_configuration_is_served_and_its_version_reported() {
+    let log = Arc::new(MemoryLog::new(1 << 20));
+    let text = "id: 2f8b3a52-5d8e-4c6a-9c1b-000000000001\nbase: 0\nchanges:\n  - set_service: {name: s, repeatable: true}\n";
+    let patch = patch::Patch::from_yaml(text).unwrap();
+    let record = snapshot::encode_patch(&patch);
+    log.append(CONFIGURATION_STREAM, vec![record.into()])
+        .await
+        .unwrap();
+    let (agent, follower) = TestAgent::start_with_log(log).await;
+    tokio::time::sleep(3 * SECOND).await;
+    let image = agent.handler.configuration(0).await.unwrap();
+    assert_eq!(image.version, 1);
+    assert!(agent.handler.configuration(1).await.is_none());
+    let session = agent.hello().await;
+    let reply = agent.poll(session, Vec::new()).await;
+    let PollReply::Events {
+        configuration_version,
+        ..
+    } = reply
+    else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(configuration_version, 1);
+    follower.close().await;
+}
+
 // Guards against load reports in every reply.
 #[tokio::test(start_paused = true)]
 async fn report_is_sent_when_it_changed_or_is_old() {
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::Arc, time};
 
-use agent::{assembly, handler, handler::RpcHandler, settings};
+use agent::{assembly, handler, handler::RpcHandler, server, settings};
 use decisions::{ids, units};
 use endpoints::client::{
     EndpointError, EngineStatus, Generation, ModelEngine, TokenEvent, TokenStream,
@@ -12,7 +12,12 @@
 use futures::{StreamExt, future::BoxFuture};
 use parking_lot::Mutex;
 use peers::{message, service::AgentHandler};
+use platform::{
+    follower::{ConfigurationFollower, PublishedState},
+    log::LogService,
+};
 use telemetry::{logs, metrics};
+use tokio::sync::watch;
 
 pub const SECOND: time::Duration = time::Duration::from_secs(1);
 pub const TOKENS: u64 = 5;
@@ -245,6 +250,20 @@
 
 impl TestAgent {
     pub async fn start(slots: u16, kept_bytes: usize) -> Self {
+        Self::start_configured(slots, kept_bytes, None).await
+    }
+
+    pub async fn start_with_log(log: Arc<dyn LogService>) -> (Self, ConfigurationFollower) {
+        let follower = server::follow(log, &logs::discard_logger());
+        let agent = Self::start_configured(2, 1 << 20, Some(follower.state())).await;
+        (agent, follower)
+    }
+
+    async fn start_configured(
+        slots: u16,
+        kept_bytes: usize,
+        configuration: Option<watch::Receiver<PublishedState>>,
+    ) -> Self {
         let listen = ([127, 0, 0, 1], 0).into();
         let replicas = vec![replica_settings(slots, 1)];
         let mut settings = settings::AgentSettings::new(listen, "a", replicas);
@@ -256,7 +275,8 @@
         };
         let registry = metrics::MetricsRegistry::new().unwrap();
         let logger = logs::discard_logger();
-        let state = assembly::build(&settings, endpoints, logger, &registry.meter());
+        let mut state = assembly::build(&settings, endpoints, logger, &registry.meter());
+        state.configuration = configuration;
         let state = Arc::new(state);
         let tasks = assembly::run(&state).await;
         Self {
