--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, combinators};
+use http_body_util::{BodyExt, combinators};
 use hyper::{body::Incoming, service};
 use hyper_util::{rt, server::conn::auto};
 use parking_lot::Mutex;
@@ -20,7 +20,10 @@
 };
 
 pub use crate::stand_in_requests::token_text;
-use crate::{client, http_engine, stand_in_requests};
+use crate::{
+    client, http_engine,
+    stand_in_requests::{self, plain},
+};
 
 pub(crate) type ResponseBody = combinators::UnsyncBoxBody<Bytes, io::Error>;
 /// An error closes the connection without a reply.
@@ -222,8 +225,7 @@
             return;
         };
         let _ = stream.set_nodelay(true);
-        let state = Arc::clone(&state);
-        let batch = Arc::clone(&batch);
+        let (state, batch) = (Arc::clone(&state), Arc::clone(&batch));
         connections.spawn(async move {
             let handler = service::service_fn(move |request| {
                 let state = Arc::clone(&state);
@@ -279,8 +281,12 @@
 fn report(state: &Mutex<EngineState>) -> Response<ResponseBody> {
     let mut state = state.lock();
     let now = tokio::time::Instant::now();
-    let open = state.requests.iter().filter(|request| request.is_open());
-    let open = u16::try_from(open.count()).unwrap_or(u16::MAX);
+    let open = state
+        .requests
+        .iter()
+        .filter(|request| request.is_open())
+        .count();
+    let open = u16::try_from(open).unwrap_or(u16::MAX);
     let status = client::EngineStatus {
         epoch: state.epoch,
         base_model: state.options.base_model.clone(),
@@ -299,8 +305,8 @@
     {
         state.statuses.pop_front();
     }
-    let status = state.statuses.front().map(|first| &first.status);
-    let body = serde_json::to_string(&status).unwrap_or_default();
+    let first = state.statuses.front().map(|first| &first.status);
+    let body = serde_json::to_string(&first).unwrap_or_default();
     plain(StatusCode::OK, &body)
 }
 
@@ -342,8 +348,8 @@
     };
     let (faults, duration, store, epoch) = {
         let state = state.lock();
-        let store = state.store.clone();
-        (state.faults.clone(), state.options.load, store, state.epoch)
+        let load = state.options.load;
+        (state.faults.clone(), load, state.store.clone(), state.epoch)
     };
     if faults.refuse_loads {
         return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "no loads now"));
@@ -389,17 +395,9 @@
     };
     state.adapters.remove(position);
     state.counts.unloads += 1;
-    let mut open = state.requests.iter().filter(|request| request.is_open());
-    if open.any(|request| request.model == name) {
+    let mut requests = state.requests.iter();
+    if requests.any(|request| request.is_open() && request.model == name) {
         state.counts.unloads_in_use += 1;
     }
     plain(StatusCode::OK, "unloaded")
 }
-
-pub(crate) fn plain(status: StatusCode, body: &str) -> Response<ResponseBody> {
-    let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
-    let body = body.map_err(|never| match never {});
-    let mut response = Response::new(BodyExt::boxed_unsync(body));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/endpoints/src/stand_in_requests.rs
+++ b/crates/endpoints/src/stand_in_requests.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -15,7 +15,7 @@
 
 use crate::{
     http_engine,
-    stand_in::{EngineState, Reply, ResponseBody, plain},
+    stand_in::{EngineState, Reply, ResponseBody},
 };
 
 /// Interval of heartbeats.
@@ -298,3 +298,12 @@
 pub fn token_text(model: &str, index: u32) -> String {
     format!("{model}:{index} ")
 }
+
+/// Answer with a text.
+pub(crate) fn plain(status: StatusCode, body: &str) -> Response<ResponseBody> {
+    let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+    let body = body.map_err(|never| match never {});
+    let mut response = Response::new(BodyExt::boxed_unsync(body));
+    *response.status_mut() = status;
+    response
+}
