--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -143,7 +143,7 @@
 
 fn whole_text() -> String {
     (0..5)
-        .map(|index| stand_in::token_text("notes@3", index))
+        .map(|index| stand_in::token_text("notes@3", "", index))
         .collect()
 }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,15 +3,29 @@
 //! Every function takes the current time as an argument and every random choice comes from a
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
+pub mod admission;
+pub mod backlog;
+pub mod candidates;
 pub mod claim_attempt;
 pub mod claim_batch;
 pub mod claims;
+pub mod endpoint_state;
+pub mod endpoint_table;
 pub mod eviction;
 pub mod fifo_queue;
+pub mod hash_ring;
 pub mod ids;
+pub mod latency_window;
 pub mod load_budget;
 pub mod load_queue;
+pub mod load_times;
+pub mod membership;
+pub mod peer_times;
 pub mod queueing;
 pub mod request_table;
+pub mod retries;
+pub mod routing;
 pub mod slots;
+pub mod stragglers;
 pub mod units;
+pub mod wait_routing;
--- a/crates/endpoints/src/stand_in_requests.rs
+++ b/crates/endpoints/src/stand_in_requests.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::sync::{self, watch};
+use xxhash_rust::xxh3;
 
 use crate::{
     http_engine,
@@ -32,6 +33,7 @@
 pub(crate) struct EngineRequest {
     id: String,
     pub(crate) model: String,
+    prompt: Arc<str>,
     max_tokens: u32,
     is_chat: bool,
     progress: Arc<watch::Sender<Progress>>,
@@ -46,10 +48,29 @@
 #[derive(Deserialize)]
 struct GenerateBody {
     model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<ChatMessage>,
     #[serde(default = "default_max_tokens")]
     max_tokens: u32,
 }
 
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+impl GenerateBody {
+    /// Prompt, or the last message of a chat.
+    fn input(&self) -> &str {
+        match self.messages.last() {
+            Some(message) => &message.content,
+            None => &self.prompt,
+        }
+    }
+}
+
 fn default_max_tokens() -> u32 {
     16
 }
@@ -81,6 +102,7 @@
     let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
     let request = EngineRequest {
         id: id.to_owned(),
+        prompt: body.input().into(),
         model: body.model,
         max_tokens: body.max_tokens,
         is_chat,
@@ -268,7 +290,7 @@
     }
 
     fn text(&self, index: u32, is_wrong: bool) -> String {
-        let text = token_text(&self.request.model, index);
+        let text = token_text(&self.request.model, &self.request.prompt, index);
         let choice = if self.request.is_chat {
             serde_json::json!({"index": 0, "delta": {"content": text}})
         } else {
@@ -293,10 +315,11 @@
     }
 }
 
-/// Text of token `index` of an answer by `model`.
+/// Text of token `index` of the answer of `model` to `prompt`.
 #[must_use]
-pub fn token_text(model: &str, index: u32) -> String {
-    format!("{model}:{index} ")
+pub fn token_text(model: &str, prompt: &str, index: u32) -> String {
+    let hash = xxh3::xxh3_64(prompt.as_bytes());
+    format!("{model}:{hash:016x}:{index} ")
 }
 
 /// Answer with a text.
