--- a/src/demo.rs
+++ b/src/demo.rs
@@ -64,12 +64,8 @@
                 replicas.push(replica_settings(engine.address()));
                 engines.push(engine);
             }
-            let settings = AgentSettings {
-                listen: LOOPBACK,
-                data_centre: data_centre(index),
-                replicas,
-                drain: time::Duration::from_secs(5),
-            };
+            let mut settings = AgentSettings::new(LOOPBACK, &data_centre(index), replicas);
+            settings.drain = time::Duration::from_secs(5);
             let agent = AgentServer::start(settings).await.context(AgentSnafu)?;
             agents.push(agent);
         }
@@ -95,7 +91,7 @@
             entry.close().await.context(EntrySnafu)?;
         }
         for agent in self.agents {
-            agent.close();
+            agent.close().await;
         }
         for engine in self.engines {
             engine.close();
