Run the demo on the whole system

Cause: the demo used neither configuration, instance list, weight store nor plain services. Change: it starts all stand-ins, publishes 200 adapters, and sends 40 keyed calls of a service that must not be repeated, each at both entries at once. The keyed calls show a fault: none ran twice, but 14 of 80 callers got no answer and 3 calls ran unreported. Conclusion: demo exits with 1 until two entries can read one kept answer.

--- a/crates/endpoints/src/stand_in_service.rs
+++ b/crates/endpoints/src/stand_in_service.rs
@@ -76,6 +76,12 @@
         position.map_or(0, |position| state.calls[position].calls)
     }
 
+    /// Calls with any request id.
+    #[must_use]
+    pub fn total_calls(&self) -> u64 {
+        self.state.lock().calls.iter().map(|key| key.calls).sum()
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: ServiceFaults) {
         self.state.lock().faults = faults;
--- a/src/client.rs
+++ b/src/client.rs
@@ -109,6 +109,13 @@
         Ok((status, body.to_bytes()))
     }
 
+    /// Whether an entry takes requests.
+    pub async fn is_ready(&self, entry: net::SocketAddr) -> bool {
+        let request = Request::get(format!("http://{entry}/readyz")).body(Full::default());
+        let Ok(request) = request else { return false };
+        matches!(self.call(request).await, Ok((200, _)))
+    }
+
     /// Reads the state of an entry.
     ///
     /// # Errors
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,146 +1,64 @@
 //! Self-contained demonstration on loopback.
 //!
-//! One process starts the stand-ins, four agents with two engines each and two entries, sends a
-//! bounded load over some hundred adapters and reports what the callers saw.
+//! One process starts the stand-ins, four agents with two engines each and two entries, publishes
+//! a configuration, sends a bounded load over some hundred adapters and keyed calls to a service
+//! that must not be repeated, and reports what the callers saw.
 
-use std::{net, time};
+use std::time;
 
-use agent::{
-    server::{AgentError, AgentServer},
-    settings::{AgentSettings, ReplicaSettings},
-};
-use endpoints::stand_in;
-use entry::{
-    server::{EntryError, EntryServer},
-    settings::EntrySettings,
-};
 use snafu::{ResultExt, Snafu};
 
-use crate::{load, report};
+use crate::{bookings, demo_cluster, load, report};
 
-const AGENTS: usize = 4;
-const ENTRIES: usize = 2;
-const ENGINES_PER_AGENT: usize = 2;
 const ADAPTERS: u32 = 200;
-const REQUESTS: u32 = 600;
-const LOOPBACK: net::SocketAddr =
-    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+const REQUESTS: u32 = 750;
+/// Requests per second. The weight store allows about 4.5 loads per second, which bounds the rate
+/// at which adapters that are not resident can be asked for.
+const RATE: f64 = 25.0;
+const BOOKINGS: u32 = 40;
 
 /// Reason why the demonstration cannot run.
 #[derive(Debug, Snafu)]
 pub enum DemoError {
-    #[snafu(display("a stand-in cannot start: {source}"))]
-    StandIn { source: std::io::Error },
     #[snafu(display("{source}"))]
-    Agent { source: AgentError },
-    #[snafu(display("{source}"))]
-    Entry { source: EntryError },
+    Cluster { source: demo_cluster::ClusterError },
     #[snafu(display("{source}"))]
     Load { source: load::LoadError },
 }
 
-/// Processes of the demonstration.
-pub struct DemoCluster {
-    engines: Vec<stand_in::StandInEngine>,
-    agents: Vec<AgentServer>,
-    entries: Vec<EntryServer>,
-}
-
-impl DemoCluster {
-    /// Starts all parts on free loopback ports.
-    ///
-    /// # Errors
-    /// [`DemoError`] when a part cannot start.
-    pub async fn start() -> Result<Self, DemoError> {
-        let mut engines = Vec::new();
-        let mut agents = Vec::new();
-        for index in 0..AGENTS {
-            let mut replicas = Vec::new();
-            for _ in 0..ENGINES_PER_AGENT {
-                let options = stand_in::EngineOptions::default();
-                let engine = stand_in::StandInEngine::start(options)
-                    .await
-                    .context(StandInSnafu)?;
-                replicas.push(replica_settings(engine.address()));
-                engines.push(engine);
-            }
-            let mut settings = AgentSettings::new(LOOPBACK, &data_centre(index), replicas);
-            settings.drain = time::Duration::from_secs(5);
-            let agent = AgentServer::start(settings).await.context(AgentSnafu)?;
-            agents.push(agent);
-        }
-        let mut entries = Vec::new();
-        for index in 0..ENTRIES {
-            let agents = agents.iter().map(AgentServer::address).collect();
-            let settings = EntrySettings::new(LOOPBACK, &data_centre(index), "base", agents);
-            entries.push(EntryServer::start(settings).context(EntrySnafu)?);
-        }
-        Ok(Self {
-            engines,
-            agents,
-            entries,
-        })
-    }
-
-    /// Stops all parts.
-    ///
-    /// # Errors
-    /// [`DemoError`] when an entry ended with an error.
-    pub async fn close(self) -> Result<(), DemoError> {
-        for entry in self.entries {
-            entry.close().await.context(EntrySnafu)?;
-        }
-        for agent in self.agents {
-            agent.close().await;
-        }
-        for engine in self.engines {
-            engine.close();
-        }
-        Ok(())
-    }
-
-    fn plan(&self) -> load::LoadPlan {
-        load::LoadPlan {
-            entries: self.entries.iter().map(EntryServer::address).collect(),
-            models: (0..ADAPTERS).map(load::adapter_name).collect(),
-            requests: REQUESTS,
-            rate: 40.0,
-            skew: 1.1,
-            long_share: 0.02,
-            long_factor: 30,
-            deadline: time::Duration::from_secs(10),
-            seed: 7,
-        }
-    }
-}
-
 /// Runs the demonstration; `progress` gets the number of finished and of all requests.
 ///
 /// # Errors
 /// [`DemoError`] when a part cannot start or stop.
 pub async fn run(progress: impl Fn(usize, usize)) -> Result<report::LoadReport, DemoError> {
-    let cluster = DemoCluster::start().await?;
-    let plan = cluster.plan();
-    let total = plan.requests as usize;
-    let mut report = load::run(&plan, |finished| progress(finished, total))
+    let cluster = demo_cluster::DemoCluster::start(ADAPTERS)
         .await
-        .context(LoadSnafu)?;
-    let counts = cluster.engines.iter().map(stand_in::StandInEngine::counts);
-    report.load_stalls = counts.map(|counts| counts.loads).sum();
-    cluster.close().await?;
+        .context(ClusterSnafu)?;
+    let entries = cluster.entries();
+    let plan = plan(&entries);
+    let total = plan.requests as usize;
+    let load = load::run(&plan, |finished| progress(finished, total));
+    let calls = bookings::run(&entries, demo_cluster::SERVICE, BOOKINGS);
+    let (report, mut calls) = tokio::join!(load, calls);
+    let mut report = report.context(LoadSnafu)?;
+    calls.check_runs(cluster.service_calls());
+    report.load_stalls = cluster.load_stalls();
+    report.adapter_loads = cluster.adapter_loads();
+    report.service = Some(calls);
+    report.cut_off = cluster.close().await.context(ClusterSnafu)? as u64;
     Ok(report)
 }
 
-fn replica_settings(address: net::SocketAddr) -> ReplicaSettings {
-    ReplicaSettings {
-        address,
-        base_model: "base".into(),
-        adapter_slots: 8,
-        batch_limit: 16,
-        checks_fencing: true,
+fn plan(entries: &[std::net::SocketAddr]) -> load::LoadPlan {
+    load::LoadPlan {
+        entries: entries.to_vec(),
+        models: (0..ADAPTERS).map(load::adapter_name).collect(),
+        requests: REQUESTS,
+        rate: RATE,
+        skew: 1.3,
+        long_share: 0.02,
+        long_factor: 30,
+        deadline: time::Duration::from_secs(10),
+        seed: 7,
     }
 }
-
-fn data_centre(index: usize) -> String {
-    format!("edinburgh-{}", index % 2 + 1)
-}
--- a/src/load.rs
+++ b/src/load.rs
@@ -101,7 +101,13 @@
 /// Model name of the adapter with this popularity rank, from 0.
 #[must_use]
 pub fn adapter_name(rank: u32) -> String {
-    format!("adapter-{rank:03}@1")
+    format!("{}@1", adapter_base_name(rank))
+}
+
+/// Name without version of the adapter with this popularity rank, from 0.
+#[must_use]
+pub fn adapter_base_name(rank: u32) -> String {
+    format!("adapter-{rank:03}")
 }
 
 fn schedule(plan: &LoadPlan) -> Result<Vec<PlannedRequest>, LoadError> {
--- a/src/report.rs
+++ b/src/report.rs
@@ -42,6 +42,24 @@
     pub p99: f64,
 }
 
+/// Counts of calls that must not be repeated, each sent to several entries at once.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CallReport {
+    /// Distinct calls, one per idempotency key.
+    pub calls: u64,
+    /// Calls that got their own answer at least once.
+    pub answered: u64,
+    pub refused: BTreeMap<String, u64>,
+    pub lost: u64,
+    pub wrong: u64,
+    /// Calls that reached the service.
+    pub runs: u64,
+    /// Runs beyond one per key.
+    pub doubled: u64,
+    /// Runs of keys whose callers were not told.
+    pub unreported: u64,
+}
+
 /// Counts and times of a load run.
 #[derive(Clone, Debug, Serialize)]
 pub struct LoadReport {
@@ -53,8 +71,14 @@
     pub lost_reasons: BTreeMap<String, u64>,
     pub wrong: u64,
     pub doubled: u64,
-    /// Adapter loads that requests waited for.
+    /// Requests that waited for the load of their adapter, where the driver can see it.
     pub load_stalls: u64,
+    /// Adapter loads of the engines, where the driver can see them.
+    pub adapter_loads: u64,
+    /// Requests that a shutdown cut off.
+    pub cut_off: u64,
+    /// Calls of a plain service, if the run had any.
+    pub service: Option<CallReport>,
     pub tokens: u64,
     pub tokens_per_second: f64,
     pub seconds: f64,
@@ -78,6 +102,9 @@
             wrong: 0,
             doubled: 0,
             load_stalls: 0,
+            adapter_loads: 0,
+            cut_off: 0,
+            service: None,
             tokens: 0,
             tokens_per_second: 0.0,
             seconds: 0.0,
@@ -126,7 +153,23 @@
     /// Whether no answer was lost, doubled or wrong.
     #[must_use]
     pub fn is_clean(&self) -> bool {
-        self.lost == 0 && self.doubled == 0 && self.wrong == 0
+        let is_service_clean = self.service.as_ref().is_none_or(CallReport::is_clean);
+        self.lost == 0 && self.doubled == 0 && self.wrong == 0 && is_service_clean
+    }
+}
+
+impl CallReport {
+    /// Compares the answers with the calls that reached the service.
+    pub fn check_runs(&mut self, runs: u64) {
+        self.runs = runs;
+        self.doubled = runs.saturating_sub(self.calls);
+        self.unreported = runs.saturating_sub(self.doubled + self.answered);
+    }
+
+    /// Whether no call was lost, doubled, wrong or run without an answer.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.lost == 0 && self.doubled == 0 && self.wrong == 0 && self.unreported == 0
     }
 }
 
@@ -141,6 +184,8 @@
         write_counts(formatter, "lost", &self.lost_reasons)?;
         writeln!(formatter, "doubled             {:>10}", self.doubled)?;
         writeln!(formatter, "load stalls         {:>10}", self.load_stalls)?;
+        writeln!(formatter, "adapter loads       {:>10}", self.adapter_loads)?;
+        writeln!(formatter, "cut off             {:>10}", self.cut_off)?;
         let rate = self.tokens_per_second;
         writeln!(
             formatter,
@@ -148,7 +193,36 @@
             self.tokens
         )?;
         write_quantiles(formatter, "first token", &self.first_token_ms)?;
-        write_quantiles(formatter, "between tokens", &self.between_tokens_ms)
+        write_quantiles(formatter, "between tokens", &self.between_tokens_ms)?;
+        match &self.service {
+            Some(service) => write!(formatter, "{service}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for CallReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            calls,
+            answered,
+            runs,
+            doubled,
+            lost,
+            wrong,
+            unreported,
+            ..
+        } = self;
+        writeln!(
+            formatter,
+            "keyed service calls {calls:>10}  each at all entries at once"
+        )?;
+        writeln!(
+            formatter,
+            "  answered {answered}, runs {runs}, doubled {doubled}, lost {lost}, wrong {wrong}, \
+             run without an answer {unreported}"
+        )?;
+        write_counts(formatter, "refused", &self.refused)
     }
 }
 
