Add stand-ins command, time buckets in seconds and complete checks

Cause: a new user had no engine to try the commands on; the default histogram bounds put all times into one bucket; check missed faults that the process refuses at its start. Change: cowslipdeal stand-ins serves an engine, a service and the platform on loopback; time histograms have bounds from 1 ms to 30 s; check lists the faults of validate().

--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -49,7 +49,7 @@
             loads: meter.u64_counter("agent_adapter_loads").build(),
             load_failures: meter.u64_counter("agent_adapter_load_failures").build(),
             evictions: meter.u64_counter("agent_adapter_evictions").build(),
-            load_stall: meter.f64_histogram("agent_load_stall_seconds").build(),
+            load_stall: telemetry::metrics::seconds_histogram(meter, "agent_load_stall_seconds"),
             queued: meter.u64_gauge("agent_queued_requests").build(),
             predicted_wait: meter.f64_gauge("agent_predicted_wait_seconds").build(),
             batch: meter.u64_gauge("agent_batch_requests").build(),
--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -136,7 +136,19 @@
         options: EngineOptions,
         store: Option<Arc<dyn WeightStore>>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_at((net::Ipv4Addr::LOCALHOST, 0).into(), options, store).await
+    }
+
+    /// Starts an engine at an address.
+    ///
+    /// # Errors
+    /// The error of the operating system when the address cannot be bound.
+    pub async fn start_at(
+        address: net::SocketAddr,
+        options: EngineOptions,
+        store: Option<Arc<dyn WeightStore>>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let batch = Arc::new(sync::Semaphore::new(options.batch_limit));
         let state = Arc::new(Mutex::new(EngineState {
--- a/crates/endpoints/src/stand_in_service.rs
+++ b/crates/endpoints/src/stand_in_service.rs
@@ -49,7 +49,15 @@
     /// # Errors
     /// The error of the operating system when no port can be bound.
     pub async fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_at((net::Ipv4Addr::LOCALHOST, 0).into()).await
+    }
+
+    /// Starts a service at an address.
+    ///
+    /// # Errors
+    /// The error of the operating system when the address cannot be bound.
+    pub async fn start_at(address: net::SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::default();
         let task = tokio::spawn(accept(listener, Arc::clone(&state)));
--- a/crates/platform/src/stand_in/server.rs
+++ b/crates/platform/src/stand_in/server.rs
@@ -53,7 +53,18 @@
     /// # Errors
     /// The error of the socket when no port can be bound.
     pub async fn start(services: PlatformServices) -> io::Result<Self> {
-        let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_at((net::Ipv4Addr::LOCALHOST, 0).into(), services).await
+    }
+
+    /// Serves at an address.
+    ///
+    /// # Errors
+    /// The error of the socket when the address cannot be bound.
+    pub async fn start_at(
+        address: net::SocketAddr,
+        services: PlatformServices,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(accept(listener, services));
         Ok(Self { address, task })
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,10 +1,16 @@
 //! Metrics registry of one process.
 
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, TextEncoder};
 use snafu::{ResultExt, Snafu};
 
+/// Bounds of time histograms, in seconds. They are closest around the targets: 54 ms between
+/// tokens and 1.2 s to the first token.
+const SECONDS_BOUNDS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.054, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 30.0,
+];
+
 /// Reason why the registry cannot be set up.
 #[derive(Debug, Snafu)]
 pub enum MetricsError {
@@ -54,12 +60,40 @@
     }
 }
 
+/// Histogram of times in seconds.
+#[must_use]
+pub fn seconds_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_unit("s")
+        .with_boundaries(SECONDS_BOUNDS.to_vec())
+        .build()
+}
+
 #[cfg(test)]
 mod tests {
     use opentelemetry::KeyValue;
 
     use super::*;
 
+    // Guards against bounds in milliseconds, under which all times fall into one bucket.
+    #[test]
+    fn token_times_fall_into_different_buckets() {
+        let registry = MetricsRegistry::new().unwrap();
+        let histogram = seconds_histogram(&registry.meter(), "gap_seconds");
+        histogram.record(0.05, &[]);
+        histogram.record(0.06, &[]);
+        let text = registry.render();
+        let bucket = |bound: &str| {
+            let wanted = format!("le=\"{bound}\"");
+            let line = text.lines().find(|line| line.contains(&wanted));
+            line.and_then(|line| line.rsplit_once(' '))
+                .map(|(_, count)| count.to_owned())
+        };
+        assert_eq!(bucket("0.054").as_deref(), Some("1"), "{text}");
+        assert_eq!(bucket("0.08").as_deref(), Some("2"), "{text}");
+    }
+
     // Guards against counters that are recorded but not exported.
     #[test]
     fn counter_with_reason_is_rendered() {
--- a/src/check.rs
+++ b/src/check.rs
@@ -5,7 +5,7 @@
 use agent::settings::AgentSettings;
 use entry::settings::EntrySettings;
 use operators::patch;
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
 /// Reason why a file cannot be checked.
@@ -67,8 +67,8 @@
     };
     let faults = match kind {
         FileKind::Patch => patch_faults(text),
-        FileKind::Agent => settings_faults::<AgentSettings>(text),
-        FileKind::Entry => settings_faults::<EntrySettings>(text),
+        FileKind::Agent => agent_faults(text),
+        FileKind::Entry => entry_faults(text),
     };
     CheckReport {
         kind: Some(kind),
@@ -111,9 +111,24 @@
     fault.path == "base" && fault.problem.contains("missing")
 }
 
-fn settings_faults<T: DeserializeOwned>(text: &str) -> Vec<String> {
-    match serde_saphyr::from_str::<T>(text) {
-        Ok(_) => Vec::new(),
+fn agent_faults(text: &str) -> Vec<String> {
+    match serde_saphyr::from_str::<AgentSettings>(text) {
+        Ok(settings) => settings
+            .validate()
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
+        Err(error) => vec![error.to_string()],
+    }
+}
+
+fn entry_faults(text: &str) -> Vec<String> {
+    match serde_saphyr::from_str::<EntrySettings>(text) {
+        Ok(settings) => settings
+            .validate()
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
         Err(error) => vec![error.to_string()],
     }
 }
@@ -134,6 +149,18 @@
         assert!(report.faults.is_empty(), "{:?}", report.faults);
     }
 
+    // Guards against a check that stops at the first fault, or accepts what the process refuses.
+    #[test]
+    fn every_fault_is_listed_with_its_path() {
+        let text = "listen: 127.0.0.1:1\ndata_centre: ''\nbase_model: base\nthreads: 0\n\
+                    agents: [127.0.0.1:7, 127.0.0.1:7]";
+        let report = check_text(text);
+        for path in ["data_centre", "threads", "agents[1]"] {
+            let is_listed = report.faults.iter().any(|fault| fault.starts_with(path));
+            assert!(is_listed, "{path} is not in {:?}", report.faults);
+        }
+    }
+
     // Guards against a misspelt field that is silently ignored.
     #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nbase_modle: b\nagents: []"; "entry")]
     #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nreplicas: []\ndrain: 3"; "agent")]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,7 @@
         .subcommand(status())
         .subcommand(load())
         .subcommand(demo())
+        .subcommand(stand_ins())
 }
 
 fn role(name: &'static str, about: &'static str, example: &'static str) -> Command {
@@ -143,6 +144,27 @@
         .after_help("Example: cowslipdeal demo --json")
 }
 
+fn stand_ins() -> Command {
+    let port = |name, help, default| {
+        Arg::new(name)
+            .long(name)
+            .value_name("PORT")
+            .value_parser(value_parser!(u16).range(1..))
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("stand-ins")
+        .about("Serves stand-ins of an engine, a plain service and the platform on 127.0.0.1")
+        .arg(port("engine-port", "Port of the engine", "9001"))
+        .arg(port("service-port", "Port of the plain service", "9002"))
+        .arg(port(
+            "platform-port",
+            "Port of the log, instance list and weight store",
+            "9100",
+        ))
+        .after_help("Example: cowslipdeal stand-ins --engine-port 9001")
+}
+
 fn address(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod report;
 pub mod run;
 pub mod settings;
+pub mod stand_ins;
--- a/src/run.rs
+++ b/src/run.rs
@@ -9,7 +9,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{runtime, signal::unix};
 
-use crate::{check, client, demo, load, publish, report, settings};
+use crate::{check, client, demo, load, publish, report, settings, stand_ins};
 
 /// Exit code for a file with faults.
 const FAULTS_EXIT: u8 = 2;
@@ -38,6 +38,8 @@
         entry: net::SocketAddr,
         message: String,
     },
+    #[snafu(display("a stand-in cannot start: {source}; choose free ports"))]
+    StandIns { source: io::Error },
     #[snafu(display("cannot start the runtime: {source}"))]
     Runtime { source: io::Error },
 }
@@ -55,6 +57,7 @@
         Some(("publish", arguments)) => runtime.block_on(run_publish(arguments)),
         Some(("status", arguments)) => runtime.block_on(run_status(arguments)),
         Some(("load", arguments)) => runtime.block_on(run_load(arguments)),
+        Some(("stand-ins", arguments)) => runtime.block_on(run_stand_ins(arguments)),
         Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
         _ => Ok(process::ExitCode::from(2)),
     }
@@ -175,6 +178,24 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+async fn run_stand_ins(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    let ports = stand_ins::StandInPorts {
+        engine: value(arguments, "engine-port"),
+        platform: value(arguments, "platform-port"),
+        service: value(arguments, "service-port"),
+    };
+    let running = stand_ins::StandIns::start(ports)
+        .await
+        .context(StandInsSnafu)?;
+    eprintln!(
+        "stand-ins on 127.0.0.1: engine {}, plain service {}, platform {}; stop with Ctrl-C",
+        ports.engine, ports.service, ports.platform
+    );
+    wait_for_signal().await.context(RuntimeSnafu)?;
+    running.close().await;
+    Ok(process::ExitCode::SUCCESS)
+}
+
 async fn run_demo(arguments: &ArgMatches) -> Result<process::ExitCode, RunError> {
     let report = demo::run(show_progress).await.context(DemoSnafu)?;
     print_report(&report, arguments.get_flag("json"));
