Send load reports as differences at a bounded rate

Cause: the capacity run showed 5.4 MB/s of load reports at an entry at peak, 185 times the limit of 29 KB/s, because every poll reply under load carried a full report. Change: an entry names the report that it holds and an interval that grows with its agents; an agent sends only what differs, a full report after a loss. The histograms have no unit. Protocol version 2.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -285,10 +285,10 @@
         })
         .await;
         let report = self.report();
-        let is_due = session.take_report(report.sequence, context.clock.now());
+        let update = session.take_report(&report, &poll, context.clock.now());
         message::PollReply::Events {
             events,
-            report: is_due.then(|| message::LoadReport::clone(&report)),
+            report: update,
             configuration_version: self.configuration_version(),
         }
     }
--- a/crates/agent/src/sessions.rs
+++ b/crates/agent/src/sessions.rs
@@ -3,11 +3,11 @@
 //! A session without a poll for [`message::SILENCE_LIMIT`] is suspended: it accepts no dispatch
 //! until its entry polls again, on any connection. After [`message::SESSION_LIMIT`] it is closed.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time};
 
 use decisions::{ids, units};
 use parking_lot::{Mutex, MutexGuard};
-use peers::message;
+use peers::{message, report_update};
 use tokio::sync;
 
 const SHARD_COUNT: u64 = 16;
@@ -28,11 +28,23 @@
     ready: VecDeque<ids::RequestId>,
     /// Streams of this session, sorted.
     streams: Vec<ids::RequestId>,
-    report_sequence: u64,
+    /// Last report that was sent; its differences are sent next.
+    sent_report: Option<Arc<message::LoadReport>>,
     reported: units::Timestamp,
     is_report_due: bool,
 }
 
+impl SessionState {
+    fn is_due(&self, sequence: u64, interval: time::Duration, now: units::Timestamp) -> bool {
+        let Some(sent) = &self.sent_report else {
+            return true;
+        };
+        let age = now.since(self.reported);
+        let is_changed = sent.sequence != sequence && age >= interval.min(message::POLL_WAIT);
+        is_changed || age >= message::POLL_WAIT || self.is_report_due
+    }
+}
+
 /// All sessions, in shards by session id.
 pub struct SessionRegistry {
     shards: Vec<Mutex<Vec<Arc<AgentSession>>>>,
@@ -45,7 +57,7 @@
             is_closed: false,
             ready: VecDeque::new(),
             streams: Vec::new(),
-            report_sequence: 0,
+            sent_report: None,
             reported: now,
             is_report_due: false,
         };
@@ -137,17 +149,24 @@
         self.state.lock().is_report_due
     }
 
-    /// Whether the next reply carries the report `sequence`; records it as sent if so.
-    pub fn take_report(&self, sequence: u64, now: units::Timestamp) -> bool {
+    /// Update for the next reply, if one is due; records the report as sent.
+    pub fn take_report(
+        &self,
+        report: &Arc<message::LoadReport>,
+        poll: &message::Poll,
+        now: units::Timestamp,
+    ) -> Option<report_update::ReportUpdate> {
         let mut state = self.state.lock();
-        let is_old = now.since(state.reported) >= message::POLL_WAIT;
-        if state.report_sequence == sequence && !is_old && !state.is_report_due {
-            return false;
+        if !state.is_due(report.sequence, poll.report_interval, now) {
+            return None;
         }
-        state.report_sequence = sequence;
+        let sent = state.sent_report.as_deref();
+        let base = sent.filter(|sent| sent.sequence == poll.held_report);
+        let update = report_update::ReportUpdate::between(base, report);
+        state.sent_report = Some(Arc::clone(report));
         state.reported = now;
         state.is_report_due = false;
-        true
+        Some(update)
     }
 
     fn close_if_silent(&self, now: units::Timestamp) -> bool {
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -8,6 +8,7 @@
 use operators::{patch, snapshot};
 use peers::{
     message::{CancelReply, DispatchReply, PollReply, RefusalReason, RunOutcome},
+    report_update::ReportUpdate,
     service::AgentHandler,
 };
 use platform::{log::LogService, reader::CONFIGURATION_STREAM, stand_in::log::MemoryLog};
@@ -337,6 +338,29 @@
     assert!(is_sent(&reply), "500 ms have passed");
 }
 
+// Guards against differences sent to an entry that has lost the report before them.
+#[tokio::test(start_paused = true)]
+async fn report_is_sent_in_full_unless_the_entry_holds_the_last_one() {
+    let agent = TestAgent::start(2, KEPT).await;
+    let session = agent.hello().await;
+    let update = |reply: PollReply| match reply {
+        PollReply::Events { report, .. } => report.expect("a report is due"),
+        PollReply::SessionClosed => panic!("the session is closed"),
+    };
+    let first = update(agent.poll_holding(session, 0).await);
+    let held = match &first {
+        ReportUpdate::Full(report) => report.sequence,
+        ReportUpdate::Changes(_) => panic!("{first:?}"),
+    };
+    let second = update(agent.poll_holding(session, held).await);
+    assert!(matches!(second, ReportUpdate::Changes(_)), "{second:?}");
+    let after_loss = update(agent.poll_holding(session, held + 1).await);
+    assert!(
+        matches!(after_loss, ReportUpdate::Full(_)),
+        "{after_loss:?}"
+    );
+}
+
 // Guards against a shutdown that interrupts requests or takes new ones.
 #[tokio::test(start_paused = true)]
 async fn drain_delivers_open_requests_and_refuses_new_ones() {
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -110,6 +110,8 @@
                     consumed: next,
                 }],
                 wait: message::POLL_WAIT,
+                held_report: 0,
+                report_interval: std::time::Duration::ZERO,
                 configuration_version: 0,
                 demand: 0,
             };
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -333,19 +333,22 @@
         self.poll_for(session, acks, message::POLL_WAIT).await
     }
 
+    /// Polls as an entry that holds this load report.
+    pub async fn poll_holding(&self, session: ids::SessionId, held: u64) -> message::PollReply {
+        let poll = message::Poll {
+            held_report: held,
+            ..empty_poll(session, Vec::new(), message::POLL_WAIT)
+        };
+        self.handler.poll(poll).await
+    }
+
     pub async fn poll_for(
         &self,
         session: ids::SessionId,
         acks: Vec<message::StreamAck>,
         wait: time::Duration,
     ) -> message::PollReply {
-        let poll = message::Poll {
-            session,
-            acks,
-            wait,
-            configuration_version: 0,
-            demand: 0,
-        };
+        let poll = empty_poll(session, acks, wait);
         self.handler.poll(poll).await
     }
 
@@ -450,3 +453,19 @@
     }
     panic!("not all streams ended: {answers:?}");
 }
+
+fn empty_poll(
+    session: ids::SessionId,
+    acks: Vec<message::StreamAck>,
+    wait: time::Duration,
+) -> message::Poll {
+    message::Poll {
+        session,
+        acks,
+        wait,
+        held_report: 0,
+        report_interval: time::Duration::ZERO,
+        configuration_version: 0,
+        demand: 0,
+    }
+}
--- a/crates/capacity/src/sessions.rs
+++ b/crates/capacity/src/sessions.rs
@@ -287,6 +287,8 @@
             session: self.session,
             acks,
             wait,
+            held_report: 0,
+            report_interval: time::Duration::ZERO,
             configuration_version: 1,
             demand: 0,
         };
--- a/crates/capacity/src/stand_in.rs
+++ b/crates/capacity/src/stand_in.rs
@@ -10,7 +10,7 @@
 
 use decisions::ids;
 use futures::{FutureExt, future::BoxFuture};
-use peers::{message, service};
+use peers::{message, report_update, service};
 use rand::Rng;
 use tokio::{sync::Mutex, time::Instant};
 use xxhash_rust::xxh3;
@@ -140,7 +140,7 @@
         };
         message::PollReply::Events {
             events,
-            report: Some(self.report.clone()),
+            report: Some(report_update::ReportUpdate::Full(self.report.clone())),
             configuration_version: 1,
         }
     }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -23,6 +23,10 @@
 const IMAGE_LIMIT: time::Duration = time::Duration::from_secs(2);
 const FAR_DELAY: time::Duration = time::Duration::from_micros(750);
 
+/// Time per agent between two of its load reports. A change of 8 replicas is about 210 B, so all
+/// agents together send at most 12 KB/s of the 29 KB/s that an entry may use for control.
+const REPORT_COST: time::Duration = time::Duration::from_micros(17_500);
+
 /// Directory of the agent incarnations that answered `hello`.
 pub struct AgentDirectory {
     data_centre: String,
@@ -300,6 +304,12 @@
         }
     }
 
+    fn report_interval(&self) -> time::Duration {
+        let agents = u32::try_from(self.agents.lock().len()).unwrap_or(u32::MAX);
+        let interval = REPORT_COST.saturating_mul(agents);
+        interval.min(message::POLL_WAIT)
+    }
+
     fn configuration_version(&self) -> u64 {
         self.version.load(Ordering::Relaxed)
     }
--- a/crates/entry/src/sessions.rs
+++ b/crates/entry/src/sessions.rs
@@ -7,7 +7,7 @@
 
 use decisions::ids;
 use parking_lot::Mutex;
-use peers::{message, service};
+use peers::{message, report_update, service};
 use snafu::Snafu;
 use telemetry::{events, logs};
 use tokio::task;
@@ -39,6 +39,8 @@
     fn replaced(&self, agent: ids::Incarnation);
     /// Version of the configuration in effect, for the poll.
     fn configuration_version(&self) -> u64;
+    /// Shortest time between two load reports of one agent.
+    fn report_interval(&self) -> time::Duration;
 }
 
 /// Channel to one agent.
@@ -47,6 +49,8 @@
     hello: message::Hello,
     logger: slog::Logger,
     state: Mutex<Option<Connection>>,
+    /// Last load report, to which the agent sends differences.
+    report: Mutex<message::LoadReport>,
     pub streams: relay::StreamTable,
 }
 
@@ -87,6 +91,7 @@
             hello,
             logger,
             state: Mutex::default(),
+            report: Mutex::default(),
             streams: relay::StreamTable::default(),
         }
     }
@@ -114,6 +119,7 @@
                     delay = FIRST_DELAY;
                     is_mismatch_logged = false;
                     *self.state.lock() = Some(connection.clone());
+                    *self.report.lock() = welcome.report.clone();
                     observer.opened(&self, &welcome);
                     self.log(events::SESSION_OPENED, "session opened");
                     previous = Some(connection.clone());
@@ -220,13 +226,15 @@
             session: connection.session,
             acks,
             wait,
+            held_report: self.report.lock().sequence,
+            report_interval: observer.report_interval(),
             configuration_version: observer.configuration_version(),
             demand: 0,
         };
         let call = connection.client.poll(service::deadline(POLL_LIMIT), poll);
         match call.await {
             Ok(message::PollReply::Events { events, report, .. }) => {
-                if let Some(report) = report {
+                if let Some(report) = report.and_then(|update| self.take_report(update)) {
                     observer.reported(self.address, connection.agent, &report);
                 }
                 for event in events {
@@ -239,6 +247,18 @@
         }
     }
 
+    /// Applies an update; none when a concurrent poll has brought a newer report or the update
+    /// belongs to another one. The next poll names the report that is held.
+    fn take_report(&self, update: report_update::ReportUpdate) -> Option<message::LoadReport> {
+        let mut held = self.report.lock();
+        let report = update.apply(&held).ok()?;
+        if report.sequence < held.sequence {
+            return None;
+        }
+        held.clone_from(&report);
+        Some(report)
+    }
+
     fn log(&self, event: events::LogEvent, message: &str) {
         logs::info(&self.logger, event, &format!("{}: {message}", self.address));
     }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use entry::{server::EntryServer, settings::EntrySettings};
 use futures::{FutureExt, future, future::BoxFuture};
 use parking_lot::Mutex;
-use peers::{message, service};
+use peers::{message, report_update, service};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -223,7 +223,7 @@
         }
         message::PollReply::Events {
             events,
-            report: Some(self.report()),
+            report: Some(report_update::ReportUpdate::Full(self.report())),
             configuration_version: 0,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -4,4 +4,5 @@
 //! the output of all its streams and serves as the heartbeat.
 
 pub mod message;
+pub mod report_update;
 pub mod service;
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -5,8 +5,10 @@
 use decisions::{ids, units};
 use serde::{Deserialize, Serialize};
 
+use crate::report_update;
+
 /// Version of the messages; peers of different versions refuse each other.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 /// Longest time an agent holds a poll that has nothing to report.
 pub const POLL_WAIT: time::Duration = time::Duration::from_millis(500);
 /// Silence after which a connection is replaced and a session is suspended. A suspended session
@@ -141,6 +143,10 @@
     pub session: ids::SessionId,
     pub acks: Vec<StreamAck>,
     pub wait: time::Duration,
+    /// Sequence of the load report that the entry holds, the base of the next update.
+    pub held_report: u64,
+    /// Shortest time between two load reports that the entry asks for.
+    pub report_interval: time::Duration,
     pub configuration_version: u64,
     /// Load demand in the rest of the region, in adapters waiting.
     pub demand: u32,
@@ -151,7 +157,7 @@
 pub enum PollReply {
     Events {
         events: Vec<StreamEvent>,
-        report: Option<LoadReport>,
+        report: Option<report_update::ReportUpdate>,
         configuration_version: u64,
     },
     /// The session is unknown or closed; a new `hello` is needed.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -60,12 +60,12 @@
     }
 }
 
-/// Histogram of times in seconds.
+/// Histogram of times in seconds. Its name ends in `_seconds`; the exporter would add a unit to the
+/// name once more.
 #[must_use]
 pub fn seconds_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
     meter
         .f64_histogram(name)
-        .with_unit("s")
         .with_boundaries(SECONDS_BOUNDS.to_vec())
         .build()
 }
@@ -84,6 +84,7 @@
         histogram.record(0.05, &[]);
         histogram.record(0.06, &[]);
         let text = registry.render();
+        assert!(text.contains("\ngap_seconds_count"), "{text}");
         let bucket = |bound: &str| {
             let wanted = format!("le=\"{bound}\"");
             let line = text.lines().find(|line| line.contains(&wanted));
