--- a/crates/decisions/benches/request_table.rs
+++ b/crates/decisions/benches/request_table.rs
@@ -8,7 +8,7 @@
 }
 
 /// Admits, starts and finishes one request and drops the oldest, at a constant table size.
-#[divan::bench(args = [1_000, 10_000, 100_000, 1_000_000]
+#[divan::bench(args = [1_000, 10_000, 100_000, 1_000_000])]
 fn request_life(bencher: Bencher, retained: u64) {
     let mut table = request_table::RequestTable::default();
     let retention = u64::try_from(request_table::RETENTION.as_micros()).unwrap_or(u64::MAX);
