Predict the wait from free places

Cause: the predicted wait counted requests that wait for their adapter, and ignored free places, so entries made copies that no queue asked for. Change: QueuePolicy::expected_wait takes the batch; predicted_wait stays.

--- a/crates/decisions/src/queueing.rs
+++ b/crates/decisions/src/queueing.rs
@@ -86,6 +86,12 @@
     /// Waiting requests, without the parked ones.
     fn waiting(&self) -> usize;
 
+    /// Expected wait of a new request of this priority for a place in this batch. Requests that
+    /// wait for their adapter take no place yet, and free places are taken at once.
+    fn expected_wait(&self, priority: units::Priority, batch: &BatchView<'_>) -> time::Duration {
+        self.predicted_wait(priority, batch.limit)
+    }
+
     /// Time after which a request with `time_left` would be served in time, at least 50 ms.
     fn retry_after(
         &self,
@@ -370,4 +376,15 @@
     fn waiting(&self) -> usize {
         self.priorities.iter().map(PriorityQueue::len).sum()
     }
+
+    fn expected_wait(&self, priority: units::Priority, batch: &BatchView<'_>) -> time::Duration {
+        let ahead = self.priorities[priority as usize..]
+            .iter()
+            .flat_map(PriorityQueue::iter)
+            .filter(|request| batch.may_run(request))
+            .count();
+        let free = batch.limit.saturating_sub(batch.running.len());
+        let starts = (ahead + 1).saturating_sub(free);
+        self.service_time.for_starts(starts, batch.limit)
+    }
 }
--- a/crates/experiments/src/replica.rs
+++ b/crates/experiments/src/replica.rs
@@ -238,8 +238,10 @@
     /// Load as the agent reports it.
     #[must_use]
     pub fn view(&self, now: units::Timestamp) -> routing::EndpointView {
-        let limit = usize::from(fakes::BATCH_LIMIT);
-        let running = self.engine.sequences.len() + self.parked.len();
+        let resident = self.slots.resident();
+        let batched = self.running();
+        let running = batched.len() + self.parked.len();
+        let batch = batch(&batched, &resident);
         routing::EndpointView {
             as_of: now,
             base_model: "base".into(),
@@ -249,8 +251,8 @@
             batch_limit: fakes::BATCH_LIMIT,
             running: u16::try_from(running).unwrap_or(u16::MAX),
             queued: u16::try_from(self.queue.waiting()).unwrap_or(u16::MAX),
-            wait: self.queue.predicted_wait(units::Priority::Normal, limit),
-            loaded: self.slots.resident(),
+            wait: self.queue.expected_wait(units::Priority::Normal, &batch),
+            loaded: resident.clone(),
             loading: self.slots.loading(),
         }
     }
