Count late first tokens as slowness only without tokens

Cause: a first token later than the predicted wait raised the slowness of a working endpoint to 20, because queues are hard to predict; requests then gathered at other full endpoints. Change: while between-token times arrive, they alone decide.

--- a/crates/decisions/src/peer_times.rs
+++ b/crates/decisions/src/peer_times.rs
@@ -27,6 +27,9 @@
 const REINSTATEMENT: f64 = 1.0;
 /// Longest time between observations that counts towards reinstatement, in seconds.
 const REINSTATEMENT_STEP: f64 = 0.5;
+/// Age up to which a between-token time shows that an endpoint works, in seconds. While it does, a
+/// late first token is a mispredicted queue, which routing corrects by the reported wait.
+const TOKEN_AGE: f64 = 0.5;
 /// Time without observations after which a factor is forgotten, in seconds.
 const FORGET: f64 = 30.0;
 /// Interval of the probes of one straggler.
@@ -77,6 +80,8 @@
     pub endpoint: ids::EndpointId,
     first_token: TimeAverage,
     between_token: TimeAverage,
+    /// Time of the last between-token time.
+    last_token: Option<units::Timestamp>,
     factor: f64,
     updated: units::Timestamp,
     probed: units::Timestamp,
@@ -92,6 +97,7 @@
             endpoint,
             first_token: TimeAverage::default(),
             between_token: TimeAverage::default(),
+            last_token: None,
             factor: 1.0,
             updated: now,
             probed: now,
@@ -146,7 +152,13 @@
     }
 
     /// Records the time between two tokens.
-    pub fn observe_between_token(&mut self, gap: time::Duration, median: Option<f64>) {
+    pub fn observe_between_token(
+        &mut self,
+        gap: time::Duration,
+        median: Option<f64>,
+        now: units::Timestamp,
+    ) {
+        self.last_token = Some(now);
         self.between_token.observe(
             gap.as_secs_f64(),
             BETWEEN_TOKEN_WEIGHT,
@@ -177,7 +189,11 @@
         let between = self
             .between_token
             .ratio(medians.between_token, BETWEEN_TOKEN_JITTER);
-        let ratio = first.max(between);
+        let ratio = if self.is_generating(now) {
+            between
+        } else {
+            first.max(between)
+        };
         let target = if ratio > SLOW_RATIO { ratio } else { 1.0 };
         let elapsed = now.since(self.updated).as_secs_f64();
         let step = elapsed.min(REINSTATEMENT_STEP);
@@ -215,8 +231,17 @@
         }
     }
 
+    /// Whether tokens arrived lately.
+    fn is_generating(&self, now: units::Timestamp) -> bool {
+        self.last_token
+            .is_some_and(|last| now.since(last).as_secs_f64() <= TOKEN_AGE)
+    }
+
     /// Ratio of the longest current silence to the median, 1 while that is normal.
     fn silent_ratio(&self, median: Option<f64>, now: units::Timestamp) -> f64 {
+        if self.is_generating(now) {
+            return 1.0;
+        }
         let oldest = self.waiting.iter().find(|waiting| !waiting.overtaken);
         let (Some(oldest), Some(median)) = (oldest, median) else {
             return 1.0;
--- a/crates/decisions/src/stragglers.rs
+++ b/crates/decisions/src/stragglers.rs
@@ -80,7 +80,7 @@
             return;
         };
         let median = self.medians.between_token;
-        self.peers[position].observe_between_token(gap, median);
+        self.peers[position].observe_between_token(gap, median, now);
         self.update(position, now);
     }
 
