Let other holders and copies fill before a batch is full

Cause: entries counted every load twice, once at the dispatch and once in a report, and estimated 5.4 s per load at 2 loads in flight; an endpoint with 8 requests was taken to have all slots pinned. The most popular adapter stayed on 6 full replicas while others ran 5 requests. Change: a load counts when it starts; a nearly full batch and an eviction have moderate costs; loads that come too late yield to those in time.

--- a/crates/decisions/src/candidates.rs
+++ b/crates/decisions/src/candidates.rs
@@ -6,6 +6,15 @@
 
 /// Cost of a full batch beside the predicted wait, so that new copies go to idle endpoints.
 const FULL_BATCH_COST: time::Duration = time::Duration::from_millis(40);
+/// Part of the batch that fills without a further cost. The rest absorbs the requests that the
+/// other entries send before the next report.
+const FREELY_FILLED: f64 = 0.75;
+/// Further cost of a batch that is full; about the time until one of its requests ends. It lets
+/// other holders fill, and copies be made, before requests queue.
+const NO_ROOM_COST: time::Duration = time::Duration::from_millis(600);
+/// Cost of an eviction at an idle endpoint, as a part of the load time.
+const EVICTION_COST: f64 = 0.25;
+
 /// Endpoint that may take a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -68,6 +77,7 @@
             .max(load_wait + self.first_token.mul_f64(slowness))
             + state.distance * 2;
         let filled = f64::from(state.outstanding()) / f64::from(state.batch_limit);
+        let crowded = ((filled - FREELY_FILLED) / (1.0 - FREELY_FILLED)).clamp(0.0, 1.0);
         Some(Candidate {
             slot,
             rank: hash_ring::rank(self.request.adapter, state.endpoint),
@@ -76,6 +86,7 @@
             first_token,
             cost: first_token
                 + FULL_BATCH_COST.mul_f64(filled.min(1.0))
+                + NO_ROOM_COST.mul_f64(crowded)
                 + self.eviction_cost(state, adapter_state),
         })
     }
@@ -116,14 +127,11 @@
         if adapter_state != routing::AdapterState::Absent || has_free_slot {
             return time::Duration::ZERO;
         }
-        // Reports do not say which adapters are pinned; each request pins at most one.
-        let busy = usize::try_from(state.outstanding()).unwrap_or(usize::MAX);
-        if busy < state.adapter_slots {
-            // The evicted adapter may have to be loaded again by a later request.
-            return self.load_time / 4;
-        }
-        // A slot frees up when one of the running requests ends.
-        self.request_time / state.outstanding().max(1) + self.load_time
+        // Reports do not say which adapters are pinned. Many requests share few adapters, so some
+        // slot is nearly always free to be reused; a busy endpoint only makes that less certain.
+        let pinned = f64::from(state.outstanding()) / f64::from(state.batch_limit);
+        // The evicted adapter may have to be loaded again by a later request.
+        self.load_time.mul_f64(EVICTION_COST + pinned.min(1.0))
     }
 }
 
--- a/crates/decisions/src/endpoint_table.rs
+++ b/crates/decisions/src/endpoint_table.rs
@@ -275,8 +275,14 @@
         }
         let mut appeared = 0;
         for held in after {
-            if endpoint_state::position_of(before, held.adapter).is_err() {
+            let known = endpoint_state::position_of(before, held.adapter);
+            if known.is_err() {
                 self.index(held.adapter, endpoint, slot);
+            }
+            // An expected load counts once it starts: it may start late, or never.
+            let is_expected = |state| state == endpoint_state::HeldState::Expected;
+            let was_started = known.is_ok_and(|known| !is_expected(before[known].state));
+            if !was_started && !is_expected(held.state) {
                 appeared += 1;
             }
         }
--- a/crates/decisions/src/load_queue.rs
+++ b/crates/decisions/src/load_queue.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use crate::{ids, units};
+use crate::{ids, load_budget, units};
 
 /// First pause after a failed load; doubled with every further failure in a row.
 const FIRST_BACK_OFF: time::Duration = time::Duration::from_millis(250);
@@ -17,10 +17,21 @@
     adapter: ids::AdapterId,
     /// Earliest deadline; `None` when no request waits.
     deadline: Option<units::Timestamp>,
+    /// Requests that wait, at least those since the deadline was last set.
+    requests: u32,
     failures: u32,
     not_before: units::Timestamp,
 }
 
+impl WaitingLoad {
+    /// Whether the load is too late, and the time left per waiting request.
+    fn urgency(&self, now: units::Timestamp) -> Option<(bool, time::Duration)> {
+        let deadline = self.deadline?;
+        let is_late = deadline < now + load_budget::NOMINAL_LOAD;
+        Some((is_late, deadline.since(now) / self.requests.max(1)))
+    }
+}
+
 /// Waiting loads, sorted by adapter.
 #[derive(Debug, Default)]
 pub struct LoadQueue {
@@ -33,12 +44,16 @@
         let load = self.entry(adapter);
         let earliest = load.deadline.map_or(deadline, |other| other.min(deadline));
         load.deadline = Some(earliest);
+        load.requests += 1;
     }
 
     /// Sets the earliest deadline of the requests that still wait; `None` when there are none.
     pub fn set_deadline(&mut self, adapter: ids::AdapterId, deadline: Option<units::Timestamp>) {
         if deadline.is_some() || self.position(adapter).is_ok() {
-            self.entry(adapter).deadline = deadline;
+            let load = self.entry(adapter);
+            load.deadline = deadline;
+            let remaining = load.requests.saturating_sub(1);
+            load.requests = deadline.map_or(0, |_| remaining.max(1));
         }
     }
 
@@ -79,7 +94,9 @@
             .retain(|load| load.deadline.is_some() || load.not_before > now);
     }
 
-    /// Adapter with the earliest deadline that is eligible and not in back-off.
+    /// Most urgent adapter that is eligible and not in back-off: the one with the least time left
+    /// per waiting request. A load that comes too late for its deadline helps later requests only
+    /// and yields to those in time, so that an overloaded store does not serve expired work.
     pub fn earliest(
         &self,
         now: units::Timestamp,
@@ -88,7 +105,7 @@
         self.loads
             .iter()
             .filter(|load| load.not_before <= now && is_eligible(load.adapter))
-            .filter_map(|load| Some((load.deadline?, load.adapter)))
+            .filter_map(|load| Some((load.urgency(now)?, load.adapter)))
             .min()
             .map(|(_, adapter)| adapter)
     }
@@ -124,6 +141,7 @@
             let load = WaitingLoad {
                 adapter,
                 deadline: None,
+                requests: 0,
                 failures: 0,
                 not_before: units::Timestamp::default(),
             };
