Stop probing endpoints that generate tokens

Cause: each of 4 entries sent 2 probes per second to every straggler, up to 16 of 55 requests per second. Change: tokens of running requests replace the probe.

--- a/crates/decisions/src/eviction.rs
+++ b/crates/decisions/src/eviction.rs
@@ -6,7 +6,7 @@
 
 /// Half-life of the demand rate. Popularity shifts within seconds, and one burst must not keep an
 /// adapter for minutes.
-const HALF_LIFE: time::Duration = time::Duration::from_secs(120);
+const HALF_LIFE: time::Duration = time::Duration::from_secs(20);
 /// Rate, in requests/s, below which demand is forgotten: one request about 3 min ago.
 const NEGLIGIBLE_RATE: f64 = 1e-4;
 /// Rate, in requests/s, that counts as popularity 1/2.
--- a/crates/decisions/src/load_queue.rs
+++ b/crates/decisions/src/load_queue.rs
@@ -24,11 +24,12 @@
 }
 
 impl WaitingLoad {
-    /// Whether the load is too late, and the time left per waiting request.
-    fn urgency(&self, now: units::Timestamp) -> Option<(bool, time::Duration)> {
+    /// Whether the load is too late, the time left per waiting request, and the deadline.
+    fn urgency(&self, now: units::Timestamp) -> Option<(bool, time::Duration, units::Timestamp)> {
         let deadline = self.deadline?;
         let is_late = deadline < now + load_budget::NOMINAL_LOAD;
-        Some((is_late, deadline.since(now) / self.requests.max(1)))
+        let share = deadline.since(now) / self.requests.max(1);
+        Some((is_late, share, deadline))
     }
 }
 
--- a/crates/decisions/src/peer_times.rs
+++ b/crates/decisions/src/peer_times.rs
@@ -214,7 +214,11 @@
     /// Whether a straggler is due for a request that measures it again.
     #[must_use]
     pub fn is_probe_due(&self, now: units::Timestamp) -> bool {
-        self.factor > 1.0 && self.waiting.is_empty() && now.since(self.probed) >= PROBE_INTERVAL
+        // The tokens of running requests measure the endpoint as well as a probe does.
+        self.factor > 1.0
+            && self.waiting.is_empty()
+            && !self.is_generating(now)
+            && now.since(self.probed) >= PROBE_INTERVAL
     }
 
     /// Starts the next probe interval.
--- a/crates/decisions/src/wait_routing.rs
+++ b/crates/decisions/src/wait_routing.rs
@@ -21,7 +21,7 @@
 /// Cost difference for which the preferred holder is kept; about one time between tokens.
 const HOLDER_MARGIN: time::Duration = time::Duration::from_millis(50);
 /// Cost difference for which the preferred newcomer is kept; absorbs differing views of entries.
-const NEWCOMER_MARGIN: time::Duration = time::Duration::from_millis(150);
+const NEWCOMER_MARGIN: time::Duration = time::Duration::from_millis(20);
 /// First-token time assumed before any was observed.
 const INITIAL_FIRST_TOKEN: time::Duration = time::Duration::from_millis(50);
 /// Request time assumed before any was observed.
--- a/crates/experiments/src/measures.rs
+++ b/crates/experiments/src/measures.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Number of requests in the run.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.records.len()
+    }
+
     /// Records the arrival of a request at its agent.
     pub fn arrived(&mut self, job: usize, waiting: Option<&replica::Waiting>) {
         self.records[job].is_stalled = waiting.is_some_and(|waiting| waiting.stalled.is_some());
@@ -171,6 +177,17 @@
         share(of_priority, |outcome| outcome.is_in_time)
     }
 
+    /// Share in time of the high-priority requests that did not wait for a load.
+    #[must_use]
+    pub fn high_in_time_resident(&self) -> f64 {
+        let high = self
+            .measured()
+            .filter(|o| o.priority == units::Priority::High);
+        share(high.filter(|o| o.stall.is_none()), |outcome| {
+            outcome.is_in_time
+        })
+    }
+
     /// Quantile of the stalls, in seconds, over the stalled requests.
     #[must_use]
     pub fn stall_quantile(&self, quantile: f64) -> f64 {
--- a/crates/experiments/src/policies.rs
+++ b/crates/experiments/src/policies.rs
@@ -44,6 +44,8 @@
     pub has_replica_queue: bool,
     pub eviction: EvictionKind,
     pub budget: BudgetKind,
+    /// Whether entries refuse requests that they expect to be late.
+    pub has_admission: bool,
 }
 
 /// The product.
@@ -53,6 +55,7 @@
     has_replica_queue: true,
     eviction: EvictionKind::DemandScarcity,
     budget: BudgetKind::DemandControl,
+    has_admission: true,
 };
 
 /// Policy with full knowledge.
@@ -62,6 +65,7 @@
     has_replica_queue: true,
     eviction: EvictionKind::NeededCopies,
     budget: BudgetKind::Central,
+    has_admission: false,
 };
 
 const fn baseline(name: &'static str, rule: baselines::BaselineRule) -> PolicySetup {
@@ -71,6 +75,7 @@
         has_replica_queue: false,
         eviction: EvictionKind::LeastRecentlyUsed,
         budget: BudgetKind::Uncoordinated,
+        has_admission: false,
     }
 }
 
@@ -102,7 +107,12 @@
 }
 
 /// Variants of the product that differ in one choice.
-pub const VARIANTS: [PolicySetup; 6] = [
+pub const VARIANTS: [PolicySetup; 7] = [
+    PolicySetup {
+        name: "no admission",
+        has_admission: false,
+        ..PRODUCT
+    },
     with_budget("static shares", BudgetKind::StaticShare),
     with_budget("demand shares", BudgetKind::DemandShare),
     with_budget("load-time back-off", BudgetKind::LoadTimeControl),
--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -98,6 +98,7 @@
         ],
         scenarios::Scenario::Peak => vec![
             ("peak high in time", 1.0),
+            ("high, resident", 1.0),
             ("peak normal in time", f64::NAN),
             ("peak low in time", f64::NAN),
             ("recovery s", 0.0),
--- a/crates/experiments/src/scenarios.rs
+++ b/crates/experiments/src/scenarios.rs
@@ -230,6 +230,7 @@
         };
         let mut record = run.record();
         let high = record.in_time(units::Priority::High);
+        let resident = record.high_in_time_resident();
         let normal = record.in_time(units::Priority::Normal);
         let low = record.in_time(units::Priority::Low);
         let (start, end) = (record.window.start, record.window.stop);
@@ -238,6 +239,7 @@
         let recovery = record.recovery(start, end);
         vec![
             figure("peak high in time", high),
+            figure("high, resident", resident),
             figure("peak normal in time", normal),
             figure("peak low in time", low),
             figure("recovery s", recovery),
--- a/crates/experiments/src/simulation.rs
+++ b/crates/experiments/src/simulation.rs
@@ -2,10 +2,13 @@
 
 use std::{cmp, collections::BinaryHeap, rc::Rc, time};
 
-use decisions::{ids, load_budget, routing, slots, units};
+use decisions::{admission, ids, load_budget, routing, slots, units};
 use rand_chacha::ChaCha8Rng;
 
-use crate::{fakes, measures, oracle, policies, replica, workload};
+use crate::{fakes, measures, policies, replica, workload};
+
+mod agents;
+mod entries;
 
 /// Interval of the agents' reports.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -83,6 +86,12 @@
     }
 }
 
+/// Entry with its routing policy, `None` with full knowledge, and its admission control.
+struct Entry {
+    policy: Option<Box<dyn routing::RoutingPolicy>>,
+    admission: Option<admission::AdmissionControl>,
+}
+
 struct Agent {
     budget: Option<load_budget::LoadBudget>,
     /// Loads that waited at the last report.
@@ -98,7 +107,9 @@
     setup: policies::PolicySetup,
     jobs: Vec<workload::Job>,
     end: units::Timestamp,
-    entries: Vec<Option<Box<dyn routing::RoutingPolicy>>>,
+    entries: Vec<Entry>,
+    /// Prediction for each admitted request.
+    predictions: Vec<Option<routing::Choice>>,
     agents: Vec<Agent>,
     replicas: Vec<replica::Replica>,
     store: fakes::WeightStore,
@@ -126,6 +137,7 @@
             jobs,
             end: window.end,
             entries: Vec::new(),
+            predictions: vec![None; recorder.jobs()],
             agents: Vec::new(),
             replicas: Vec::new(),
             store: fakes::WeightStore::default(),
@@ -189,7 +201,9 @@
                     policy.report(endpoint, &replica.view(self.now), self.now);
                 }
             }
-            self.entries.push(policy);
+            let has_admission = self.setup.has_admission;
+            let admission = has_admission.then(|| admission::AdmissionControl::new(self.now));
+            self.entries.push(Entry { policy, admission });
         }
         for job in 0..self.jobs.len() {
             let at = self.jobs[job].sent + self.deployment.to_clients;
@@ -243,7 +257,7 @@
                 view,
             } => {
                 let endpoint = self.replicas[replica].endpoint;
-                if let Some(policy) = self.entries[entry].as_mut() {
+                if let Some(policy) = self.entries[entry].policy.as_mut() {
                     policy.report(endpoint, &view, self.now);
                 }
             }
@@ -253,12 +267,7 @@
                 replica,
                 tokens,
             } => self.receive(entry, replica, &tokens),
-            Event::Ended { job, replica, end } => {
-                let attempt = self.attempt(job, replica);
-                if let Some(policy) = self.entries[self.jobs[job].entry].as_mut() {
-                    policy.ended(attempt, end, self.now);
-                }
-            }
+            Event::Ended { job, replica, end } => self.end_attempt(job, replica, end),
             Event::Speed(change) => {
                 let replica = &mut self.replicas[change.replica];
                 replica.engine.slowness = change.slowness;
@@ -274,71 +283,6 @@
         }
     }
 
-    fn arrive(&mut self, number: usize) {
-        let job = &self.jobs[number];
-        let entry = job.entry;
-        let replica = if let Some(policy) = self.entries[entry].as_mut() {
-            let request = routing::RoutingRequest {
-                base_model: "base",
-                adapter: job.adapter,
-                repeatable: true,
-                exclude: &[],
-            };
-            let choice = policy.choose(&request, self.now);
-            let choice = choice.expect("all endpoints are ready throughout the run");
-            let id = replica::request_id(entry, number);
-            policy.dispatched(id, job.adapter, &choice, self.now);
-            let found = self
-                .replicas
-                .iter()
-                .position(|r| r.endpoint == choice.endpoint);
-            found.expect("a chosen endpoint is a replica")
-        } else {
-            let chosen = oracle::choose(&self.replicas, &self.store, job, self.now);
-            self.share_demand(number);
-            chosen
-        };
-        let distance = self
-            .deployment
-            .distance(entry, replica / workload::REPLICAS_PER_AGENT);
-        let event = Event::Dispatch {
-            job: number,
-            replica,
-        };
-        self.schedule(self.now + distance, event);
-    }
-
-    /// Counts a request's demand at all replicas, and tells them the copies.
-    fn share_demand(&mut self, number: usize) {
-        let adapter = self.jobs[number].adapter;
-        let deadline = self.jobs[number].deadline;
-        for replica in &mut self.replicas {
-            let is_waiting = replica.waiting.iter().any(|w| w.adapter == adapter);
-            if !is_waiting {
-                replica.slots.request(adapter, deadline, self.now);
-                replica.slots.set_deadline(adapter, None);
-            }
-        }
-        let held: Vec<_> = self.replicas.iter().map(held_adapters).collect();
-        for replica in 0..self.replicas.len() {
-            self.tell_copies(replica, &held);
-        }
-    }
-
-    fn tell_copies(&mut self, number: usize, held: &[Vec<ids::AdapterId>]) {
-        for adapter in &held[number] {
-            let others = held
-                .iter()
-                .enumerate()
-                .filter(|(other, _)| *other != number);
-            let copies = others.filter(|(_, held)| held.contains(adapter)).count();
-            let copies = u32::try_from(copies).unwrap_or(u32::MAX);
-            self.replicas[number]
-                .slots
-                .set_copies(*adapter, copies, self.now);
-        }
-    }
-
     fn dispatch(&mut self, number: usize, replica: usize) {
         let job = &self.jobs[number];
         self.replicas[replica].arrive(number, job, self.now);
@@ -421,182 +365,4 @@
         self.refill(number);
         self.start_loads(self.replicas[number].agent);
     }
-
-    fn receive(&mut self, entry: usize, replica: usize, tokens: &[fakes::Token]) {
-        for token in tokens {
-            let attempt = self.attempt(token.job, replica);
-            if token.is_first {
-                let at = self.now + self.deployment.to_clients;
-                self.recorder.first_token(token.job, at);
-            }
-            let Some(policy) = self.entries[entry].as_mut() else {
-                continue;
-            };
-            if token.is_first {
-                policy.first_token(attempt, self.now);
-            } else {
-                policy.between_token(attempt, self.now);
-            }
-        }
-    }
-
-    fn start_loads(&mut self, agent: usize) {
-        if self.setup.budget == policies::BudgetKind::Central {
-            self.start_central_loads();
-            return;
-        }
-        let first = agent * workload::REPLICAS_PER_AGENT;
-        let mut replicas: Vec<_> = (first..first + workload::REPLICAS_PER_AGENT).collect();
-        replicas.sort_by_key(|replica| self.replicas[*replica].earliest_load());
-        for replica in replicas {
-            while self.replicas[replica].earliest_load().is_some()
-                && self.start_load(agent, replica)
-            {}
-        }
-    }
-
-    /// Starts the most urgent load of a replica; false when budget or slots do not allow one.
-    fn start_load(&mut self, agent: usize, replica: usize) -> bool {
-        if !self.replicas[replica].can_load() {
-            return false;
-        }
-        if let Some(budget) = self.agents[agent].budget.as_mut()
-            && !budget.try_start(self.now)
-        {
-            let due = budget
-                .next_start(self.now)
-                .max(self.now + time::Duration::from_millis(1));
-            self.schedule_loads(agent, due);
-            return false;
-        }
-        self.command_load(replica)
-    }
-
-    fn command_load(&mut self, number: usize) -> bool {
-        let replica = &mut self.replicas[number];
-        let Some(plan) = replica.slots.next_load(self.now, &mut self.rng) else {
-            return false;
-        };
-        let done = self.store.request(self.now);
-        self.recorder.load(self.now);
-        replica.load_started(&plan, done, self.now);
-        let started = self.now;
-        self.schedule(
-            done,
-            Event::LoadDone {
-                replica: number,
-                plan,
-                started,
-            },
-        );
-        true
-    }
-
-    /// Starts loads in the order of their deadlines while the store admits them at once.
-    fn start_central_loads(&mut self) {
-        while self.store.backlog(self.now).is_zero() {
-            let urgent = (0..self.replicas.len())
-                .filter(|replica| self.replicas[*replica].can_load())
-                .filter_map(|replica| Some((self.replicas[replica].earliest_load()?, replica)))
-                .min();
-            let Some((_, replica)) = urgent else {
-                return;
-            };
-            if !self.command_load(replica) {
-                return;
-            }
-        }
-        // Timestamps are whole microseconds, and a shorter backlog would give the present time.
-        let due = self.now + self.store.backlog(self.now) + time::Duration::from_micros(1);
-        self.schedule_loads(0, due);
-    }
-
-    fn schedule_loads(&mut self, agent: usize, due: units::Timestamp) {
-        if self.agents[agent].loads_due.is_none() {
-            self.agents[agent].loads_due = Some(due);
-            self.schedule(due, Event::LoadsDue(agent));
-        }
-    }
-
-    fn end_load(&mut self, number: usize, plan: &slots::LoadPlan, started: units::Timestamp) {
-        self.store.finish();
-        let replica = &mut self.replicas[number];
-        replica.load_finished(plan, self.now);
-        let agent = replica.agent;
-        if let Some(budget) = self.agents[agent].budget.as_mut() {
-            budget.finish(self.now.since(started), self.now);
-        }
-        self.refill(number);
-        self.start_loads(agent);
-    }
-
-    fn report(&mut self, agent: usize) {
-        let first = agent * workload::REPLICAS_PER_AGENT;
-        let replicas = first..first + workload::REPLICAS_PER_AGENT;
-        let waiting = replicas
-            .clone()
-            .map(|replica| self.replicas[replica].slots.waiting_loads());
-        let waiting: usize = waiting.sum();
-        self.agents[agent].waiting_loads = u32::try_from(waiting).unwrap_or(u32::MAX);
-        self.agents[agent].reported = self.now;
-        for replica in replicas {
-            let view = Rc::new(self.replicas[replica].view(self.now));
-            for entry in 0..workload::ENTRIES {
-                let distance = self.deployment.distance(entry, agent);
-                let at = self.now + distance + self.replicas[replica].report_lag;
-                let view = Rc::clone(&view);
-                self.schedule(
-                    at,
-                    Event::Reported {
-                        entry,
-                        replica,
-                        view,
-                    },
-                );
-            }
-        }
-        self.schedule(self.now + REPORT_INTERVAL, Event::Report(agent));
-    }
-
-    /// Tells an agent the demand and the copies of its peers as of their last reports.
-    fn exchange(&mut self, agent: usize) {
-        let own = self
-            .replicas_of(agent)
-            .map(|replica| replica.slots.waiting_loads());
-        let own = u32::try_from(own.sum::<usize>()).unwrap_or(u32::MAX);
-        let others = self.agents.iter().enumerate();
-        let others: Vec<_> = others.filter(|(other, _)| *other != agent).collect();
-        let demand = load_budget::LoadDemand {
-            own,
-            others: others.iter().map(|(_, other)| other.waiting_loads).sum(),
-            agents: u32::try_from(self.agents.len()).unwrap_or(u32::MAX),
-            reported: others
-                .iter()
-                .map(|(_, other)| other.reported)
-                .min()
-                .unwrap_or(self.now),
-        };
-        if let Some(budget) = self.agents[agent].budget.as_mut() {
-            budget.on_demand(demand, self.now);
-        }
-        let held: Vec<_> = self.replicas.iter().map(held_adapters).collect();
-        let first = agent * workload::REPLICAS_PER_AGENT;
-        for replica in first..first + workload::REPLICAS_PER_AGENT {
-            self.tell_copies(replica, &held);
-        }
-        self.start_loads(agent);
-        self.schedule(self.now + EXCHANGE_INTERVAL, Event::Exchange(agent));
-    }
-
-    fn replicas_of(&self, agent: usize) -> impl Iterator<Item = &replica::Replica> {
-        self.replicas
-            .iter()
-            .filter(move |replica| replica.agent == agent)
-    }
-}
-
-fn held_adapters(replica: &replica::Replica) -> Vec<ids::AdapterId> {
-    let mut held = replica.slots.resident();
-    held.extend(replica.slots.loading());
-    held
 }
