Do not refuse high priorities by the wait of normal ones

Cause: entries know the predicted wait of a normal request only. At the peak admission refused high-priority requests that overtake these. The full-knowledge policy now copies adapters whose holders are all crowded.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -26,15 +26,6 @@
 const ON_TIME_STEP: f64 = 0.01;
 /// Time in which the pressure falls to 1/e without observations, in seconds.
 const PRESSURE_DECAY: f64 = 2.0;
-/// Expected wait of a high-priority request as a part of the reported wait, which is that of a
-/// normal one; agents serve high priorities first.
-const HIGH_WAIT_PART: f64 = 0.5;
-/// Weight of one observed wait of a high-priority request.
-const HIGH_WAIT_WEIGHT: f64 = 0.1;
-/// Reported wait below which an observation says nothing about the part.
-const OBSERVED_WAIT_MINIMUM: time::Duration = time::Duration::from_millis(50);
-/// Time in which the part returns to its initial value without observations, in seconds.
-const HIGH_WAIT_DECAY: f64 = 5.0;
 /// Shortest time after which a refused request may be repeated.
 const RETRY_MINIMUM: time::Duration = time::Duration::from_millis(100);
 /// Longest time after which a refused request may be repeated.
@@ -98,7 +89,6 @@
 pub struct AdmissionControl {
     /// From 0 (all on time) to 1 (all late).
     pressure: FadingValue,
-    high_wait_part: FadingValue,
 }
 
 impl AdmissionControl {
@@ -107,7 +97,6 @@
     pub fn new(now: units::Timestamp) -> Self {
         Self {
             pressure: FadingValue::new(0.0, PRESSURE_DECAY, now),
-            high_wait_part: FadingValue::new(HIGH_WAIT_PART, HIGH_WAIT_DECAY, now),
         }
     }
 
@@ -121,10 +110,10 @@
         generator: &mut G,
         now: units::Timestamp,
     ) -> Result<(), AdmissionRefusal> {
-        let first_token = self.first_token(request, now);
+        let first_token = first_token(request);
         let share = self.share(request.priority, now);
         let allowed = request.time_left.mul_f64(share);
-        if first_token <= allowed {
+        if first_token <= allowed || request.priority == units::Priority::High {
             return Ok(());
         }
         let reason = if first_token > request.time_left {
@@ -150,13 +139,6 @@
             pressure + LATE_STEP * (1.0 - pressure)
         };
         self.pressure.set(pressure, now);
-        let is_high = outcome.priority == units::Priority::High;
-        if is_high && outcome.predicted_wait >= OBSERVED_WAIT_MINIMUM {
-            let seen = outcome.wait.as_secs_f64() / outcome.predicted_wait.as_secs_f64();
-            let part = self.high_wait_part.at(now);
-            let part = part + HIGH_WAIT_WEIGHT * (seen.min(2.0) - part);
-            self.high_wait_part.set(part, now);
-        }
     }
 
     /// Pressure from 0 (all on time) to 1 (all late), for metrics.
@@ -165,14 +147,6 @@
         self.pressure.at(now)
     }
 
-    fn first_token(&self, request: &AdmissionRequest, now: units::Timestamp) -> time::Duration {
-        if request.priority != units::Priority::High {
-            return request.first_token;
-        }
-        let rest = request.first_token.saturating_sub(request.wait);
-        rest + request.wait.mul_f64(self.high_wait_part.at(now))
-    }
-
     fn share(&self, priority: units::Priority, now: units::Timestamp) -> f64 {
         let pressure = self.pressure.at(now);
         match priority {
@@ -183,6 +157,15 @@
     }
 }
 
+/// Time that decides on a request. The reported wait is that of a normal request, and a
+/// high-priority one overtakes these: refusing it by that wait loses requests that would be on time.
+fn first_token(request: &AdmissionRequest) -> time::Duration {
+    match request.priority {
+        units::Priority::High => request.first_token.saturating_sub(request.wait),
+        _ => request.first_token,
+    }
+}
+
 impl FadingValue {
     fn new(resting: f64, decay: f64, now: units::Timestamp) -> Self {
         Self {
--- a/crates/experiments/src/oracle.rs
+++ b/crates/experiments/src/oracle.rs
@@ -11,6 +11,8 @@
 
 /// Predicted difference for which a replica with the adapter in its batch is preferred.
 const MARGIN: time::Duration = time::Duration::from_millis(50);
+/// Requests at which a replica counts as crowded.
+const CROWDED: usize = 28;
 /// Share of a batch that one copy of an adapter is expected to serve.
 const COPY_SHARE: f64 = 0.5;
 /// Value of a copy that demand does not need, relative to one that it needs.
@@ -33,14 +35,42 @@
 
 /// Copies that serve a request rate.
 fn copies_needed(rate: f64) -> f64 {
-    let limit = f64::from(fakes::BATCH_LIMIT);
     let shortest = f64::from(*fakes::SHORT_TOKENS.start());
     let longest = f64::from(*fakes::SHORT_TOKENS.end());
     let capacity = fakes::nominal_capacity() / f64::midpoint(shortest, longest);
-    debug_assert!(limit > 0.0);
     (rate / (capacity * COPY_SHARE)).ceil().max(1.0)
 }
 
+/// Requests at a replica.
+#[must_use]
+pub fn occupied(replica: &replica::Replica) -> usize {
+    replica.engine.sequences.len() + replica.waiting.len()
+}
+
+/// Adapter of which every holder is crowded, with its copies; the one with the most requests.
+#[must_use]
+pub fn crowded_adapter(
+    replicas: &[replica::Replica],
+    held: &[Vec<ids::AdapterId>],
+) -> Option<(ids::AdapterId, u32)> {
+    let mut running: Vec<_> = replicas
+        .iter()
+        .filter(|replica| occupied(replica) >= CROWDED)
+        .flat_map(|replica| &replica.engine.sequences)
+        .map(|sequence| sequence.adapter)
+        .collect();
+    running.sort_unstable();
+    let crowded = running
+        .chunk_by(|left, right| left == right)
+        .filter(|same| {
+            let mut holders = replicas.iter().zip(held);
+            holders.all(|(replica, held)| !held.contains(&same[0]) || occupied(replica) >= CROWDED)
+        });
+    let adapter = crowded.max_by_key(|same| same.len())?[0];
+    let copies = held.iter().filter(|held| held.contains(&adapter)).count();
+    Some((adapter, u32::try_from(copies).unwrap_or(u32::MAX)))
+}
+
 /// Prediction for one replica.
 #[derive(Clone, Copy, Debug)]
 struct Prediction {
@@ -70,12 +100,13 @@
         .filter(|prediction| prediction.first_token <= lowest + MARGIN);
     let best = near.max_by_key(|prediction| {
         let room = usize::from(fakes::BATCH_LIMIT).saturating_sub(prediction.occupied);
-        let packed = if prediction.is_holder {
+        let is_holder = prediction.is_holder && prediction.occupied < CROWDED;
+        let packed = if is_holder {
             prediction.companions
         } else {
             room
         };
-        (prediction.is_holder, packed, room)
+        (is_holder, packed, room)
     });
     best.map_or(0, |prediction| prediction.position)
 }
--- a/crates/experiments/src/simulation/agents.rs
+++ b/crates/experiments/src/simulation/agents.rs
@@ -5,7 +5,7 @@
 use decisions::{ids, load_budget, slots, units};
 
 use super::{EXCHANGE_INTERVAL, Event, REPORT_INTERVAL, Simulation};
-use crate::{policies, replica, workload};
+use crate::{fakes, oracle, policies, replica, workload};
 
 impl Simulation {
     pub(super) fn start_loads(&mut self, agent: usize) {
@@ -45,6 +45,11 @@
         let Some(plan) = replica.slots.next_load(self.now, &mut self.rng) else {
             return false;
         };
+        self.begin_load(number, plan)
+    }
+
+    fn begin_load(&mut self, number: usize, plan: slots::LoadPlan) -> bool {
+        let replica = &mut self.replicas[number];
         let done = self.store.request(self.now);
         self.recorder.load(self.now);
         replica.load_started(&plan, done, self.now);
@@ -60,9 +65,33 @@
         true
     }
 
+    /// Starts a copy of an adapter of which every holder is crowded, at the emptiest replica.
+    fn add_copy(&mut self) -> bool {
+        let held: Vec<_> = self.replicas.iter().map(held_adapters).collect();
+        let Some((adapter, copies)) = oracle::crowded_adapter(&self.replicas, &held) else {
+            return false;
+        };
+        let absent = (0..self.replicas.len()).filter(|replica| !held[*replica].contains(&adapter));
+        let emptiest = absent.min_by_key(|replica| oracle::occupied(&self.replicas[*replica]));
+        let Some(number) = emptiest else {
+            return false;
+        };
+        let rate = f64::from(fakes::BATCH_LIMIT);
+        let hot = slots::HotAdapter {
+            adapter,
+            rate,
+            copies,
+        };
+        let plan = self.replicas[number].slots.prefetch(&[hot], self.now);
+        plan.is_some_and(|plan| self.begin_load(number, plan))
+    }
+
     /// Starts loads in the order of their deadlines while the store admits them at once.
     fn start_central_loads(&mut self) {
         while self.store.backlog(self.now).is_zero() {
+            if self.add_copy() {
+                continue;
+            }
             let urgent = (0..self.replicas.len())
                 .filter(|replica| self.replicas[*replica].can_load())
                 .filter_map(|replica| Some((self.replicas[replica].earliest_load()?, replica)))
