--- a/crates/decisions/src/load_queue.rs
+++ b/crates/decisions/src/load_queue.rs
@@ -11,9 +11,6 @@
 /// Longest pause after failed loads.
 const MAX_BACK_OFF: time::Duration = time::Duration::from_secs(16);
 
-/// Delay of a load's deadline for each step of priority; above the usual times to the first token.
-const PRIORITY_STEP: time::Duration = time::Duration::from_secs(5);
-
 /// Requests that wait for an adapter, and its failed loads.
 #[derive(Clone, Copy, Debug)]
 struct WaitingLoad {
@@ -26,17 +23,6 @@
     not_before: units::Timestamp,
 }
 
-/// Deadline of the load for a request: lower priorities yield to higher ones while the store is
-/// overloaded, and are served in their order while it is not.
-#[must_use]
-pub fn load_deadline(priority: units::Priority, deadline: units::Timestamp) -> units::Timestamp {
-    match priority {
-        units::Priority::High => deadline,
-        units::Priority::Normal => deadline + PRIORITY_STEP,
-        units::Priority::Low => deadline + PRIORITY_STEP * 2,
-    }
-}
-
 impl WaitingLoad {
     /// Whether the load is too late, the time left per waiting request, and the deadline.
     fn urgency(&self, now: units::Timestamp) -> Option<(bool, time::Duration, units::Timestamp)> {
