--- a/crates/decisions/src/wait_routing.rs
+++ b/crates/decisions/src/wait_routing.rs
@@ -213,9 +213,7 @@
         now: units::Timestamp,
     ) {
         let endpoint = choice.endpoint;
-        if self.table.dispatched(endpoint, request, adapter, now) {
-            self.loads.started(now);
-        }
+        self.table.dispatched(endpoint, request, adapter, now);
         if let Some(stragglers) = self.table.stragglers_of(endpoint) {
             let expected = match choice.adapter_state {
                 routing::AdapterState::Loaded => choice.wait,
