Never answer not_run while another caller's claim may run the key

Cause: a caller whose request met another entry's tombstone, or that gave up or was refused, was told not_run without a look at the claims of others. keyed.rs hid one case by claiming up to 3 times. Change: such a caller claims the next attempt itself, so log order decides, and attaches to the winner otherwise. Every not_run after an append needs a further read without another winner. The last attempt is not cancelled by other entries. The work-around in keyed.rs is gone. The search covers the property and a refused dispatch; it drops state without later effect and keeps hashes.

--- a/crates/decisions/src/claim_attempt.rs
+++ b/crates/decisions/src/claim_attempt.rs
@@ -66,7 +66,8 @@
 /// Final answer that involves no stream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum ClaimAnswer {
-    /// This caller's request did not run and never will.
+    /// This caller's request did not run and never will, and the log shows no other claim that
+    /// won the key.
     NotRun,
     /// The request of the key may have run.
     Unknown,
@@ -99,13 +100,26 @@
     Reading,
     Dispatching,
     Attaching(ClaimedRequest),
-    /// Cancels the winner's request, to supersede it.
+    /// Cancels the winner's request, to supersede it. The winner is the own request if another
+    /// entry has cancelled it.
     Superseding(ClaimedRequest),
     /// Cancels the own request before `not_run` is answered.
     Abandoning,
+    /// Reads whether another claim won before `not_run` is answered; the own request never runs.
+    Closing,
     Done,
 }
 
+/// Whether another entry cancelled an own request, so that it may claim and run the key.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum ClaimContest {
+    None,
+    /// The agent holds another entry's tombstone for the own request.
+    Cancelled,
+    /// An earlier own request was cancelled and a further attempt claimed.
+    Superseded,
+}
+
 /// Claim of one entry from its first append to the answer.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ClaimAttempt {
@@ -113,10 +127,11 @@
     state: AttemptState,
     /// A dispatch was sent and its effect is unknown.
     has_lost_dispatch: bool,
-    /// The agent refused the own request because of a tombstone.
-    is_cancelled: bool,
+    contest: ClaimContest,
     /// Attempt number of the claim that is being attached to or superseded.
     winner_attempt: u32,
+    /// The deadline passed, so no further attempt is claimed.
+    is_late: bool,
 }
 
 impl ClaimAttempt {
@@ -130,8 +145,9 @@
             record,
             state: AttemptState::Reading,
             has_lost_dispatch: false,
-            is_cancelled: false,
+            contest: ClaimContest::None,
             winner_attempt: 0,
+            is_late: false,
         };
         let action = attempt.judge(outcome);
         (attempt, action)
@@ -149,7 +165,9 @@
             return self.give_up();
         }
         match self.state {
-            AttemptState::Appending | AttemptState::Reading => self.step_log(event),
+            AttemptState::Appending | AttemptState::Reading | AttemptState::Closing => {
+                self.step_log(event)
+            }
             AttemptState::Dispatching => self.step_dispatch(&event),
             AttemptState::Attaching(winner) => self.step_attach(&event, winner),
             AttemptState::Superseding(winner) => self.step_supersede(&event, winner),
@@ -162,11 +180,16 @@
         let is_appending = self.state == AttemptState::Appending;
         match event {
             ClaimEvent::Appended | ClaimEvent::AppendLost if is_appending => self.read(),
-            ClaimEvent::LogAvailable => self.read(),
+            ClaimEvent::LogAvailable => ClaimAction::ReadToEnd,
             ClaimEvent::LogUnavailable => {
-                self.state = AttemptState::Reading;
+                if is_appending {
+                    self.state = AttemptState::Reading;
+                }
                 ClaimAction::WaitForLog
             }
+            ClaimEvent::Read(outcome) if self.state == AttemptState::Closing => {
+                self.conclude(outcome.as_ref())
+            }
             ClaimEvent::Read(outcome) if !is_appending => self.judge(outcome.as_ref()),
             _ => ClaimAction::Ignore,
         }
@@ -178,9 +201,9 @@
             // The earlier dispatch may have been accepted, so the refusal of a later one does not
             // show that the request has not run.
             ClaimEvent::Refused if self.has_lost_dispatch => self.abandon(),
-            ClaimEvent::Refused => self.answer(ClaimAnswer::NotRun),
+            ClaimEvent::Refused => self.close(),
             ClaimEvent::RefusedCancelled => {
-                self.is_cancelled = true;
+                self.contest = ClaimContest::Cancelled;
                 self.read()
             }
             ClaimEvent::DispatchLost | ClaimEvent::AgentUnreachable => {
@@ -195,10 +218,11 @@
     fn step_attach(&mut self, event: &ClaimEvent, winner: ClaimedRequest) -> ClaimAction {
         match event {
             ClaimEvent::Attached => self.relay(winner),
-            ClaimEvent::NotSeen => {
-                self.state = AttemptState::Superseding(winner);
-                ClaimAction::LeaveTombstone(winner)
+            // A last attempt that was cancelled could not be followed by another one.
+            ClaimEvent::NotSeen if self.is_late || self.winner_attempt + 1 >= MAX_ATTEMPTS => {
+                self.answer(ClaimAnswer::Unknown)
             }
+            ClaimEvent::NotSeen => self.cancel_winner(winner),
             ClaimEvent::IncarnationGone | ClaimEvent::AgentUnreachable => {
                 self.answer(ClaimAnswer::Unknown)
             }
@@ -219,7 +243,7 @@
 
     fn step_abandon(&mut self, event: &ClaimEvent) -> ClaimAction {
         match event {
-            ClaimEvent::TombstoneLeft { .. } => self.answer(ClaimAnswer::NotRun),
+            ClaimEvent::TombstoneLeft { .. } => self.close(),
             ClaimEvent::Started => {
                 self.winner_attempt = self.record.attempt;
                 self.attach(self.own())
@@ -236,8 +260,11 @@
             return self.append();
         };
         if winner.is_same_claim(&self.record) {
-            if self.is_cancelled {
-                return self.answer(ClaimAnswer::NotRun);
+            // The entry that left the tombstone is about to claim the next attempt; log order
+            // decides between its claim and this one.
+            if self.contest == ClaimContest::Cancelled {
+                self.winner_attempt = self.record.attempt;
+                return self.cancel_winner(self.own());
             }
             self.state = AttemptState::Dispatching;
             return ClaimAction::Dispatch(self.own());
@@ -249,6 +276,32 @@
         if self.record.supersedes == Some(winner.request) {
             return self.append();
         }
+        self.attach_to(winner)
+    }
+
+    /// Acts on the outcome of the key when the own request never runs.
+    fn conclude(&mut self, outcome: Option<&claims::ClaimRecord>) -> ClaimAction {
+        let Some(winner) = outcome else {
+            return self.answer(ClaimAnswer::NotRun);
+        };
+        if winner.is_same_claim(&self.record) {
+            let answer = match self.contest {
+                ClaimContest::None => ClaimAnswer::NotRun,
+                ClaimContest::Cancelled | ClaimContest::Superseded => ClaimAnswer::Unknown,
+            };
+            return self.answer(answer);
+        }
+        if winner.body_hash != self.record.body_hash {
+            return self.answer(ClaimAnswer::KeyReused);
+        }
+        // The own claim has not taken effect, and the caller of the superseded one may claim again.
+        if self.record.supersedes == Some(winner.request) {
+            return self.answer(ClaimAnswer::Unknown);
+        }
+        self.attach_to(winner)
+    }
+
+    fn attach_to(&mut self, winner: &claims::ClaimRecord) -> ClaimAction {
         self.winner_attempt = winner.attempt;
         self.attach(ClaimedRequest {
             request: winner.request,
@@ -256,6 +309,11 @@
         })
     }
 
+    fn cancel_winner(&mut self, winner: ClaimedRequest) -> ClaimAction {
+        self.state = AttemptState::Superseding(winner);
+        ClaimAction::LeaveTombstone(winner)
+    }
+
     fn supersede(&mut self, winner: ClaimedRequest, next: NextAttempt) -> ClaimAction {
         if self.winner_attempt + 1 >= MAX_ATTEMPTS {
             return self.answer(ClaimAnswer::Unknown);
@@ -266,11 +324,14 @@
         self.record.agent = next.agent;
         self.record.claimed_at = next.claimed_at;
         self.has_lost_dispatch = false;
-        self.is_cancelled = false;
+        if self.contest == ClaimContest::Cancelled {
+            self.contest = ClaimContest::Superseded;
+        }
         self.append()
     }
 
     fn give_up(&mut self) -> ClaimAction {
+        self.is_late = true;
         match self.state {
             AttemptState::Appending | AttemptState::Reading => self.abandon(),
             AttemptState::Dispatching => {
@@ -280,7 +341,7 @@
             AttemptState::Attaching(_) | AttemptState::Superseding(_) => {
                 self.answer(ClaimAnswer::Unknown)
             }
-            AttemptState::Abandoning | AttemptState::Done => ClaimAction::Ignore,
+            _ => ClaimAction::Ignore,
         }
     }
 
@@ -311,6 +372,11 @@
         ClaimAction::LeaveTombstone(self.own())
     }
 
+    fn close(&mut self) -> ClaimAction {
+        self.state = AttemptState::Closing;
+        ClaimAction::ReadToEnd
+    }
+
     fn relay(&mut self, request: ClaimedRequest) -> ClaimAction {
         self.state = AttemptState::Done;
         ClaimAction::Relay(request)
@@ -324,11 +390,9 @@
     /// Answer when the agent's incarnation is gone: the own request ran at most if a dispatch
     /// was sent.
     fn answer_by_dispatch(&mut self) -> ClaimAction {
-        let answer = if self.has_lost_dispatch {
-            ClaimAnswer::Unknown
-        } else {
-            ClaimAnswer::NotRun
-        };
-        self.answer(answer)
+        if self.has_lost_dispatch {
+            return self.answer(ClaimAnswer::Unknown);
+        }
+        self.close()
     }
 }
--- a/crates/decisions/tests/claim_interleavings.rs
+++ b/crates/decisions/tests/claim_interleavings.rs
@@ -4,7 +4,7 @@
 //! Loom explores threads and atomics; this protocol exchanges messages, so the search visits the
 //! states of the protocol itself.
 
-use std::{collections, time};
+use std::{collections, hash::Hash, time};
 
 use decisions::{
     claim_attempt::{
@@ -13,6 +13,7 @@
     claims::{ClaimBatch, ClaimKey, ClaimRecord, ClaimWindow, WallTime},
     ids,
 };
+use xxhash_rust::xxh3;
 
 /// Rule broken on purpose.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,6 +48,10 @@
     losses: u8,
     may_time_out: bool,
     next_sequence: u64,
+    /// The last dispatch met another entry's tombstone.
+    was_cancelled: bool,
+    /// `not_run` was answered although another request of the key ran, was queued or had won.
+    told_too_early: bool,
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -56,6 +61,8 @@
     late: Vec<LateMessage>,
     agent: ids::Incarnation,
     may_restart: bool,
+    /// The agent may refuse one dispatch, for example because its queue is full.
+    may_refuse: bool,
     table: Vec<(ids::RequestId, TableState)>,
     runs: Vec<ids::RequestId>,
 }
@@ -93,6 +100,28 @@
         losses: 1,
         may_time_out: true,
         next_sequence: 1,
+        was_cancelled: false,
+        told_too_early: false,
+    }
+}
+
+impl Entry {
+    /// Makes entries equal that ended alike, which keeps the number of states small.
+    fn forget_attempt(&mut self) {
+        self.attempt = entry(0).attempt;
+        self.losses = 0;
+        self.may_time_out = false;
+        self.next_sequence = 0;
+        // Only `not_run` promises something about later states.
+        if self.action != ClaimAction::Answer(ClaimAnswer::NotRun) {
+            self.action = ClaimAction::Answer(ClaimAnswer::Unknown);
+            self.was_cancelled = false;
+        }
+    }
+
+    /// Whether the entry has a final answer or relays a stream.
+    fn is_done(&self) -> bool {
+        matches!(self.action, ClaimAction::Answer(_) | ClaimAction::Relay(_))
     }
 }
 
@@ -104,16 +133,42 @@
             late: Vec::new(),
             agent: ids::Incarnation(0),
             may_restart: true,
+            may_refuse: true,
             table: Vec::new(),
             runs: Vec::new(),
         }
     }
 
+    fn digest(&self) -> u128 {
+        let mut hasher = xxh3::Xxh3::new();
+        self.hash(&mut hasher);
+        hasher.digest128()
+    }
+
     fn violates(&self) -> bool {
         let told_not_run = |entry: &Entry| entry.action == ClaimAction::Answer(ClaimAnswer::NotRun);
         let has_run = |number: usize| self.runs.iter().any(|run| run.entry.0 == number as u64);
         let is_untrue = |number: usize| told_not_run(&self.entries[number]) && has_run(number);
-        self.runs.len() > 1 || (0..2).any(is_untrue)
+        // Whoever cancelled the request may run the key later than the answer.
+        let is_superseded = |number: usize| {
+            let entry = &self.entries[number];
+            told_not_run(entry) && entry.was_cancelled && has_run(1 - number)
+        };
+        let is_early = self.entries.iter().any(|entry| entry.told_too_early);
+        self.runs.len() > 1 || is_early || (0..2).any(|one| is_untrue(one) || is_superseded(one))
+    }
+
+    /// Whether the key ran, is queued, or was won for the caller of another entry at an agent that
+    /// may still run it.
+    fn is_taken_by_other(&self, number: usize, fault: Fault) -> bool {
+        let is_other = |request: ids::RequestId| request.entry.0 != number as u64;
+        let is_queued = |(request, state): &(ids::RequestId, TableState)| {
+            is_other(*request) && *state != TableState::Tombstone
+        };
+        let winner = self.outcome(fault);
+        let is_won =
+            winner.is_some_and(|winner| is_other(winner.request) && winner.agent == self.agent);
+        is_won || self.runs.iter().any(|run| is_other(*run)) || self.table.iter().any(is_queued)
     }
 
     fn outcome(&self, fault: Fault) -> Option<ClaimRecord> {
@@ -177,18 +232,47 @@
         ClaimEvent::TombstoneLeft { next }
     }
 
-    fn step(mut self, number: usize, event: ClaimEvent) -> Self {
+    fn step(mut self, number: usize, event: ClaimEvent, fault: Fault) -> Self {
         let entry = &mut self.entries[number];
+        if matches!(entry.action, ClaimAction::Dispatch(_)) {
+            entry.was_cancelled = event == ClaimEvent::RefusedCancelled;
+        }
         let action = entry.attempt.step(event);
         if action != ClaimAction::Ignore {
             entry.action = action;
         }
+        if entry.is_done() {
+            entry.forget_attempt();
+        }
+        if self.entries[number].action == ClaimAction::Answer(ClaimAnswer::NotRun) {
+            self.entries[number].told_too_early = self.is_taken_by_other(number, fault);
+        }
         self
     }
 
-    fn lose(mut self, number: usize, event: ClaimEvent) -> Self {
+    /// Drops what has no effect on later states, which keeps their number small.
+    fn prune(&mut self, fault: Fault) {
+        if fault != Fault::LastClaimWins {
+            // Only the present winner decides on later claims.
+            self.log = self.outcome(fault).into_iter().collect();
+        }
+        let winner = self.log.last().map(|claim| claim.attempt);
+        let (agent, table) = (self.agent, &self.table);
+        self.late.retain(|late| match late {
+            LateMessage::Append(record) => {
+                fault == Fault::LastClaimWins || winner.is_none_or(|won| record.attempt > won)
+            }
+            LateMessage::Dispatch(claimed) => {
+                let is_known = table.iter().any(|(known, _)| *known == claimed.request);
+                let is_gone = claimed.agent != agent && fault != Fault::IncarnationIgnored;
+                !is_known && !is_gone
+            }
+        });
+    }
+
+    fn lose(mut self, number: usize, event: ClaimEvent, fault: Fault) -> Self {
         self.entries[number].losses -= 1;
-        self.step(number, event)
+        self.step(number, event, fault)
     }
 
     /// States that follow when the action of one entry is carried out.
@@ -203,12 +287,17 @@
                 done.log.push(record.clone());
                 late.late.push(LateMessage::Append(record));
                 if may_lose {
-                    next.push(self.clone().lose(number, ClaimEvent::LogUnavailable));
+                    next.push(self.clone().lose(number, ClaimEvent::LogUnavailable, fault));
                 }
                 (ClaimEvent::Appended, ClaimEvent::AppendLost)
             }
             ClaimAction::Dispatch(claimed) => {
                 late.late.push(LateMessage::Dispatch(claimed));
+                if self.may_refuse && self.state(claimed.request).is_none() {
+                    let mut refusing = self.clone();
+                    refusing.may_refuse = false;
+                    next.push(refusing.step(number, ClaimEvent::Refused, fault));
+                }
                 (done.dispatch(claimed, fault), ClaimEvent::DispatchLost)
             }
             ClaimAction::LeaveTombstone(claimed) => {
@@ -227,18 +316,20 @@
                 let outcome = self.outcome(fault);
                 (ClaimEvent::Read(outcome), ClaimEvent::LogUnavailable)
             }
-            ClaimAction::WaitForLog => return vec![done.step(number, ClaimEvent::LogAvailable)],
+            ClaimAction::WaitForLog => {
+                return vec![done.step(number, ClaimEvent::LogAvailable, fault)];
+            }
             ClaimAction::Relay(_) | ClaimAction::Answer(_) | ClaimAction::Ignore => return next,
         };
         if may_lose {
             // Without effect, with effect but without a reply, and with an effect that is late.
-            next.push(unchanged.lose(number, loss.clone()));
-            next.push(done.clone().lose(number, loss.clone()));
+            next.push(unchanged.lose(number, loss.clone(), fault));
+            next.push(done.clone().lose(number, loss.clone(), fault));
             if late.late.len() > self.late.len() {
-                next.push(late.lose(number, loss));
+                next.push(late.lose(number, loss, fault));
             }
         }
-        next.push(done.step(number, event));
+        next.push(done.step(number, event, fault));
         next
     }
 
@@ -246,10 +337,10 @@
         let mut next = Vec::new();
         for number in 0..2 {
             next.extend(self.act(number, fault));
-            if self.entries[number].may_time_out && !self.entries[number].attempt.is_done() {
+            if self.entries[number].may_time_out && !self.entries[number].is_done() {
                 let mut world = self.clone();
                 world.entries[number].may_time_out = false;
-                next.push(world.step(number, ClaimEvent::DeadlinePassed));
+                next.push(world.step(number, ClaimEvent::DeadlinePassed, fault));
             }
         }
         for index in 0..self.late.len() {
@@ -283,9 +374,10 @@
 
 /// Breadth-first search that ends at the first violation.
 fn search(fault: Fault) -> Search {
+    // The 128-bit hashes of the states need a tenth of the memory of the states.
     let mut seen = collections::HashSet::new();
     let mut waiting = collections::VecDeque::from([World::new()]);
-    seen.insert(World::new());
+    seen.insert(World::new().digest());
     let mut search = Search {
         states: 0,
         transitions: 0,
@@ -298,11 +390,12 @@
             search.violation = Some(world);
             return search;
         }
-        let is_done = world.entries.iter().all(|entry| entry.attempt.is_done());
+        let is_done = world.entries.iter().all(Entry::is_done);
         search.ends_with_run += usize::from(is_done && world.runs.len() == 1);
-        for next in world.successors(fault) {
+        for mut next in world.successors(fault) {
+            next.prune(fault);
             search.transitions += 1;
-            if seen.insert(next.clone()) {
+            if seen.insert(next.digest()) {
                 waiting.push_back(next);
             }
         }
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -4,7 +4,6 @@
 
 use std::{
     collections::BTreeMap,
-    ops,
     sync::{Arc, Weak},
     time,
 };
@@ -16,7 +15,6 @@
 };
 use parking_lot::Mutex;
 use peers::{message, service};
-use rand::Rng;
 use telemetry::{events, logs};
 use tokio::sync;
 use xxhash_rust::xxh3;
@@ -24,9 +22,6 @@
 use crate::{attempts, claims, failures, plans};
 
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(2);
-/// Claims that one caller's request makes while they end as not run.
-const MAX_TRIES: usize = 3;
-const PAUSE_MILLIS: ops::Range<u64> = 10..100;
 const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Time after the deadline in which a tombstone may still be left.
 const GIVE_UP_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -69,28 +64,6 @@
     pub async fn run(
         &self,
         run: &KeyedRun<'_>,
-    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
-        let mut tries = 1;
-        loop {
-            let outcome = self.claim_once(run).await;
-            let is_not_run = outcome
-                .as_ref()
-                .is_err_and(|error| error.code == ErrorCode::LogUnavailable)
-                && !run.plan.time_left().is_zero();
-            if !is_not_run || tries >= MAX_TRIES {
-                return outcome;
-            }
-            // Another entry may have left the tombstone to supersede this claim; a new claim finds
-            // its request. The pause differs so that the entries do not cancel each other again.
-            tries += 1;
-            let pause = rand::rng().random_range(PAUSE_MILLIS);
-            tokio::time::sleep(time::Duration::from_millis(pause)).await;
-        }
-    }
-
-    async fn claim_once(
-        &self,
-        run: &KeyedRun<'_>,
     ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
         let mut targets = Vec::new();
         let outcome = self.claim(run, &mut targets).await;
@@ -143,7 +116,11 @@
                 return Err(claim_error(answer));
             }
             if run.plan.time_left().is_zero() && !std::mem::replace(&mut is_deadline_told, true) {
-                action = attempt.step(ClaimEvent::DeadlinePassed);
+                // An attempt that is being abandoned already carries on.
+                match attempt.step(ClaimEvent::DeadlinePassed) {
+                    ClaimAction::Ignore => {}
+                    next => action = next,
+                }
                 continue;
             }
             let latest = run.plan.due + GIVE_UP_LIMIT;
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -12,6 +12,8 @@
 use test_case::test_case;
 
 const DRAIN: time::Duration = time::Duration::from_secs(5);
+/// Longer than any deadline in these tests; a call that takes longer hangs.
+const LIMIT: time::Duration = time::Duration::from_secs(30);
 
 struct LogServer {
     log: Arc<MemoryLog>,
@@ -117,6 +119,35 @@
     assert_eq!(agent.agent.runs(), 1);
 }
 
+// Guards against `not_run` for a caller whose request was cancelled by another entry, which then
+// runs the key (I4), and against a run for each of the two callers (I5).
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_claim_shares_the_answer() {
+    let log = LogServer::start().await;
+    let late = Faults {
+        await_tombstone: true,
+        // The other entry claims only after this one has read the stream again.
+        hold_cancel: true,
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::service_parts(), late)
+        .start(LOOPBACK)
+        .await;
+    let one = ready_entry(&agent, &log).await;
+    let other = ready_entry(&agent, &log).await;
+    let address = one.address();
+    let first = tokio::spawn(async move { order(address, "coffee", "").await });
+    support::eventually(|| async { agent.agent.dispatches() == 1 }).await;
+    let second = order(other.address(), "coffee", "");
+    let both = futures::future::join(first, second);
+    let (first, second) = tokio::time::timeout(LIMIT, both).await.unwrap();
+    let first = first.unwrap();
+    assert!(first.contains("order 7 stored"), "{first}");
+    assert!(second.contains("order 7 stored"), "{second}");
+    assert!(agent.agent.cancels() > 0);
+    assert_eq!(agent.agent.runs(), 1);
+}
+
 // Guards against one caller that gets the answer to another request of the same key.
 #[tokio::test(flavor = "multi_thread")]
 async fn key_with_another_body_is_refused() {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -12,15 +12,18 @@
 use futures::{FutureExt, future, future::BoxFuture};
 use parking_lot::Mutex;
 use peers::{message, service};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    sync, task,
-};
+use tokio::{sync, task};
+
+pub use self::caller::*;
+
+mod caller;
 
 pub const LOOPBACK: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
 
+/// Longest time for which the reply to a cancel is held.
+const CANCEL_HOLD: time::Duration = time::Duration::from_secs(1);
+
 /// Faults of a fake agent, each independent of the others.
 #[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default)]
@@ -35,6 +38,10 @@
     pub lose_poll: bool,
     /// Streams stop after this number of parts until it is raised.
     pub hold_after: Option<usize>,
+    /// The next dispatch reaches the agent after its tombstone.
+    pub await_tombstone: bool,
+    /// The reply to the next cancel comes after a further cancel, or late.
+    pub hold_cancel: bool,
     pub refuse: Option<message::RefusalReason>,
     pub leaving: bool,
 }
@@ -248,14 +255,20 @@
     fn dispatch(&self, dispatch: message::Dispatch) -> BoxFuture<'_, message::DispatchReply> {
         async move {
             self.dispatches.fetch_add(1, atomic::Ordering::SeqCst);
-            let (loses_dispatch, loses_reply) = {
+            let (loses_dispatch, loses_reply, awaits_tombstone) = {
                 let faults = &mut self.state.lock().faults;
                 let loses_dispatch = std::mem::take(&mut faults.lose_dispatch);
-                (loses_dispatch, std::mem::take(&mut faults.lose_reply))
+                let loses_reply = std::mem::take(&mut faults.lose_reply);
+                let awaits_tombstone = std::mem::take(&mut faults.await_tombstone);
+                (loses_dispatch, loses_reply, awaits_tombstone)
             };
             if loses_dispatch {
                 future::pending::<()>().await;
             }
+            if awaits_tombstone {
+                let is_cancelled = || self.state.lock().tombstones.contains(&dispatch.request);
+                eventually(|| async { is_cancelled() }).await;
+            }
             let reply = self.take(&dispatch);
             if loses_reply {
                 future::pending::<()>().await;
@@ -308,7 +321,18 @@
             state.tombstones.push(request);
             message::CancelReply::NotRun
         };
-        future::ready(reply).boxed()
+        let is_held = std::mem::take(&mut state.faults.hold_cancel);
+        drop(state);
+        async move {
+            if is_held {
+                let limit = tokio::time::Instant::now() + CANCEL_HOLD;
+                while self.cancels() == 1 && tokio::time::Instant::now() < limit {
+                    tokio::time::sleep(time::Duration::from_millis(5)).await;
+                }
+            }
+            reply
+        }
+        .boxed()
     }
 
     fn configuration(&self, _: u64) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
@@ -387,59 +411,3 @@
     .await;
     entry
 }
-
-/// Repeats a check until it holds.
-pub async fn eventually<F: Future<Output = bool>>(check: impl Fn() -> F) {
-    for _ in 0..1000 {
-        if check().await {
-            return;
-        }
-        tokio::time::sleep(time::Duration::from_millis(10)).await;
-    }
-    panic!("the condition never held");
-}
-
-pub async fn send(address: net::SocketAddr, method: &str, path: &str, body: &str) -> String {
-    send_with(address, method, path, "", body).await
-}
-
-/// Sends a request with header lines that each end with a line break.
-pub async fn send_with(
-    address: net::SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &str,
-    body: &str,
-) -> String {
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response).await.unwrap();
-    String::from_utf8_lossy(&response).into_owned()
-}
-
-pub async fn complete(address: net::SocketAddr) -> String {
-    let body = r#"{"model": "notes@3", "prompt": "count"}"#;
-    send(address, "POST", "/v1/completions", body).await
-}
-
-pub async fn order(address: net::SocketAddr) -> String {
-    send(address, "POST", "/services/orders/new", "one coffee").await
-}
-
-/// Sends a body that the entry may stop reading before its end.
-pub async fn try_send(address: net::SocketAddr, path: &str, body: &str) -> String {
-    let (mut reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
-    let length = body.len();
-    let head = format!("POST {path} HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n");
-    let request = [head.as_bytes(), body.as_bytes()].concat();
-    let sending = tokio::spawn(async move { writer.write_all(&request).await });
-    let mut response = vec![0; 4096];
-    let length = reader.read(&mut response).await.unwrap();
-    sending.abort();
-    String::from_utf8_lossy(&response[..length]).into_owned()
-}
