Hedge completions whose first token is late

Cause: a completion waited for a straggler while another endpoint was idle. Change: hedges.rs races further attempts at other endpoints by decisions::retries (delay from observed first tokens, budget, attempt limit). The first attempt with a first part answers; the others are dropped, which cancels them. Requests that must not be repeated or carry a key, and plain services, are never hedged. entry_hedges counts started, won, no_budget and no_endpoint. Conclusion: one caller gets one answer and the loser is cancelled.

--- a/crates/entry/src/admissions.rs
+++ b/crates/entry/src/admissions.rs
@@ -136,6 +136,19 @@
 }
 
 impl WaitingEntry {
+    /// Wait that was predicted at the dispatch.
+    #[must_use]
+    pub fn predicted_wait(&self) -> time::Duration {
+        self.predicted_wait
+    }
+
+    /// Time since the dispatch beyond the predicted wait.
+    #[must_use]
+    pub fn unpredicted_time(&self) -> time::Duration {
+        let taken = self.desk.clock.now().since(self.received);
+        taken.saturating_sub(self.predicted_wait)
+    }
+
     /// Records the first token, for later admissions.
     pub fn answered(self, is_on_time: bool) {
         let now = self.desk.clock.now();
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -178,6 +178,12 @@
         Some((known.agent, Arc::clone(&known.channel)))
     }
 
+    /// Current time, as the decision modules take it.
+    #[must_use]
+    pub fn now(&self) -> units::Timestamp {
+        self.clock.now()
+    }
+
     /// Runs a change of the routing policy at the current time.
     pub fn observe(&self, change: impl FnOnce(&mut dyn routing::RoutingPolicy, units::Timestamp)) {
         let now = self.clock.now();
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -37,8 +37,8 @@
     settings: settings::EntrySettings,
     incarnation: ids::Incarnation,
     sequence: AtomicU64,
-    context: attempts::AttemptContext,
-    retries: Mutex<retries::RetryPolicy>,
+    pub(crate) context: attempts::AttemptContext,
+    pub(crate) retries: Mutex<retries::RetryPolicy>,
     configuration: Arc<configuration::ConfigurationView>,
     drain: Arc<drain::DrainState>,
     desk: Arc<admissions::AdmissionDesk>,
@@ -46,18 +46,18 @@
 }
 
 /// Attempt whose first part has arrived.
-struct StartedAnswer {
-    attempt: attempts::OpenAttempt,
-    first: message::StreamPart,
+pub(crate) struct StartedAnswer {
+    pub(crate) attempt: attempts::OpenAttempt,
+    pub(crate) first: message::StreamPart,
     /// Keeps other callers of the same key waiting.
-    turn: Option<keyed::KeyTurn>,
+    pub(crate) turn: Option<keyed::KeyTurn>,
 }
 
 /// Why an attempt is followed by another one.
-struct Setback {
-    reason: retries::RetryReason,
-    knowledge: retries::RunKnowledge,
-    error: CallerError,
+pub(crate) struct Setback {
+    pub(crate) reason: retries::RetryReason,
+    pub(crate) knowledge: retries::RunKnowledge,
+    pub(crate) error: CallerError,
 }
 
 impl RequestDispatcher {
@@ -149,7 +149,7 @@
                 }
             };
             tried.push(target.endpoint);
-            let setback = match self.attempt(plan, target, waiting).await {
+            let setback = match self.attempt_hedged(plan, target, waiting, &mut tried).await {
                 Ok(answer) => return Ok(answer),
                 Err(setback) => setback,
             };
@@ -197,45 +197,8 @@
         })
     }
 
-    async fn attempt(
-        &self,
-        plan: &plans::RequestPlan,
-        target: attempts::AttemptTarget,
-        waiting: Option<admissions::WaitingEntry>,
-    ) -> Result<StartedAnswer, Setback> {
-        match attempts::dispatch(&self.context, target, plan).await {
-            attempts::DispatchEnd::Open(mut attempt) => {
-                let first = attempt.next().await;
-                if let message::StreamPart::Failed(failure) = &first {
-                    return Err(Setback {
-                        reason: retries::RetryReason::EndpointFailed,
-                        knowledge: failures::knowledge(failure),
-                        error: failures::stream_error(failure),
-                    });
-                }
-                if let Some(waiting) = waiting {
-                    waiting.answered(!plan.time_left().is_zero());
-                }
-                Ok(StartedAnswer {
-                    attempt,
-                    first,
-                    turn: None,
-                })
-            }
-            attempts::DispatchEnd::NotRun(reason) => Err(Setback {
-                reason: failures::retry_reason(reason),
-                knowledge: retries::RunKnowledge::NotRun,
-                error: failures::not_run(reason),
-            }),
-            attempts::DispatchEnd::Unknown => Err(Setback {
-                reason: retries::RetryReason::EndpointLost,
-                knowledge: retries::RunKnowledge::Unknown,
-                error: failures::unknown(),
-            }),
-        }
-    }
-
-    fn choose(
+    /// Chooses the endpoint of an attempt.
+    pub(crate) fn choose(
         &self,
         plan: &plans::RequestPlan,
         tried: &[ids::EndpointId],
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatcher;
 pub mod drain;
 pub mod failures;
+mod hedges;
 pub mod keyed;
 pub mod metrics;
 pub mod plans;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -19,6 +19,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    hedges: Counter<u64>,
     outcomes: Counter<u64>,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
@@ -29,6 +30,19 @@
     waiting: Gauge<u64>,
 }
 
+/// What became of a hedge.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HedgeOutcome {
+    Started,
+    /// Its first part came first.
+    Won,
+    /// Not started, since too many requests were hedged.
+    NoBudget,
+    /// Not started, since no other endpoint takes the request.
+    NoEndpoint,
+}
+
 impl EntryMetrics {
     /// Creates the instruments.
     ///
@@ -41,6 +55,7 @@
             requests: meter.u64_counter("entry_requests").build(),
             refusals: meter.u64_counter("entry_refusals").build(),
             retries: meter.u64_counter("entry_retries").build(),
+            hedges: meter.u64_counter("entry_hedges").build(),
             outcomes: meter.u64_counter("entry_outcomes").build(),
             first_token: meter.f64_histogram("entry_first_token_seconds").build(),
             between_tokens: meter.f64_histogram("entry_between_tokens_seconds").build(),
@@ -77,6 +92,12 @@
         self.retries.add(1, &[reason]);
     }
 
+    /// Counts what became of a hedge.
+    pub fn hedged(&self, outcome: HedgeOutcome) {
+        let outcome = KeyValue::new("outcome", label(&outcome));
+        self.hedges.add(1, &[outcome]);
+    }
+
     /// Records the time to the first token.
     pub fn first_token(&self, time: time::Duration) {
         self.first_token.record(time.as_secs_f64(), &[]);
