Share the answer of a key among the callers of one entry

Cause: callers of one key waited for the first one's whole answer and became unknown at their deadline. An attached request reported its times to the routing policy as replica 0. Change: shared.rs keeps the parts while callers read them, so only the claim is made in turn; a caller with another body is refused at once. Attached requests of other entries are left out of the routing observation. Conclusion: a caller of a running key gets the answer from its start, also when the first caller leaves.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -69,6 +69,8 @@
     is_ended: bool,
     /// Whether the request goes on when its caller is gone.
     is_kept: bool,
+    /// Whether the routing policy knows of the attempt.
+    is_observed: bool,
 }
 
 /// Sends a request to its endpoint. Asks the agent what became of it when the reply is lost.
@@ -164,6 +166,7 @@
             last_part: None,
             is_ended: false,
             is_kept: false,
+            is_observed: true,
         }
     }
 
@@ -175,6 +178,15 @@
         attempt
     }
 
+    /// Attempt at a request that another entry dispatched. Its replica and start are not known
+    /// here, so the routing policy learns nothing from it.
+    #[must_use]
+    pub fn attached(context: &AttemptContext, target: AttemptTarget) -> Self {
+        let mut attempt = Self::kept(context, target);
+        attempt.is_observed = false;
+        attempt
+    }
+
     /// Request of this attempt.
     #[must_use]
     pub fn request(&self) -> ids::RequestId {
@@ -228,6 +240,9 @@
     }
 
     fn measure(&self, now: tokio::time::Instant) {
+        if !self.is_observed {
+            return;
+        }
         let attempt = self.attempt();
         let directory = &self.context.directory;
         match self.last_part {
@@ -243,7 +258,7 @@
     }
 
     fn end(&mut self, end: routing::AttemptEnd) {
-        if std::mem::replace(&mut self.is_ended, true) {
+        if std::mem::replace(&mut self.is_ended, true) || !self.is_observed {
             return;
         }
         let attempt = self.attempt();
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -45,12 +45,16 @@
     keyed: Option<Arc<keyed::KeyedRequests>>,
 }
 
-/// Attempt whose first part has arrived.
+/// Answer whose first part has arrived.
 pub(crate) struct StartedAnswer {
-    pub(crate) attempt: attempts::OpenAttempt,
+    pub(crate) source: AnswerSource,
     pub(crate) first: message::StreamPart,
-    /// Keeps other callers of the same key waiting.
-    pub(crate) turn: Option<keyed::KeyTurn>,
+}
+
+/// Where the further parts of an answer come from.
+pub(crate) enum AnswerSource {
+    Attempt(attempts::OpenAttempt),
+    Keyed(keyed::KeyedAnswer),
 }
 
 /// Why an attempt is followed by another one.
@@ -185,16 +189,13 @@
             },
             next: &next,
         };
-        let (mut attempt, turn) = keyed.run(&run).await?;
-        let first = attempt.next().await;
+        let mut answer = keyed.run(&run).await?;
+        let first = answer.next().await;
         if let message::StreamPart::Failed(failure) = &first {
             return Err(failures::stream_error(failure));
         }
-        Ok(StartedAnswer {
-            attempt,
-            first,
-            turn: Some(turn),
-        })
+        let source = AnswerSource::Keyed(answer);
+        Ok(StartedAnswer { source, first })
     }
 
     /// Chooses the endpoint of an attempt.
@@ -251,20 +252,20 @@
 
     fn relay(&self, answer: StartedAnswer, open: drain::OpenRequest) -> handler::AnswerStream {
         let metrics = Arc::clone(&self.context.metrics);
-        let state = Some((Some(answer.first), answer.attempt, (open, answer.turn)));
+        let state = Some((Some(answer.first), answer.source, open));
         stream::unfold(state, move |state| {
             let metrics = Arc::clone(&metrics);
             async move {
-                let (first, mut attempt, open) = state?;
+                let (first, mut source, open) = state?;
                 let part = match first {
                     Some(part) => part,
-                    None => attempt.next().await,
+                    None => source.next().await,
                 };
                 let part = answer_part(part);
                 let outcome = match &part {
                     AnswerPart::Finished { .. } => "finished",
                     AnswerPart::Failed(_) => "failed",
-                    _ => return Some((part, Some((None, attempt, open)))),
+                    _ => return Some((part, Some((None, source, open)))),
                 };
                 metrics.ended(outcome);
                 Some((part, None))
@@ -288,6 +289,15 @@
     }
 }
 
+impl AnswerSource {
+    async fn next(&mut self) -> message::StreamPart {
+        match self {
+            Self::Attempt(attempt) => attempt.next().await,
+            Self::Keyed(answer) => answer.next().await,
+        }
+    }
+}
+
 impl handler::RequestHandler for RequestDispatcher {
     fn complete(
         &self,
--- a/crates/entry/src/hedges.rs
+++ b/crates/entry/src/hedges.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     admissions, attempts,
-    dispatcher::{RequestDispatcher, Setback, StartedAnswer},
+    dispatcher::{AnswerSource, RequestDispatcher, Setback, StartedAnswer},
     failures,
     metrics::HedgeOutcome,
     plans,
@@ -136,11 +136,8 @@
                     self.retries.lock().first_token(taken, now);
                     waiting.answered(!plan.time_left().is_zero());
                 }
-                Ok(StartedAnswer {
-                    attempt,
-                    first,
-                    turn: None,
-                })
+                let source = AnswerSource::Attempt(attempt);
+                Ok(StartedAnswer { source, first })
             }
             attempts::DispatchEnd::NotRun(reason) => Err(Setback {
                 reason: failures::retry_reason(reason),
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -19,7 +19,7 @@
 use tokio::sync;
 use xxhash_rust::xxh3;
 
-use crate::{attempts, claims, failures, plans};
+use crate::{attempts, claims, failures, plans, shared};
 
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(2);
 const WAIT_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -30,12 +30,26 @@
 pub struct KeyedRequests {
     log: claims::ClaimLog,
     logger: slog::Logger,
-    /// A session has one reader per request, so callers of one key take turns.
-    turns: Mutex<BTreeMap<records::ClaimKey, Weak<sync::Mutex<()>>>>,
+    /// A session has one reader per request, so one caller claims and the others share its answer.
+    turns: Mutex<BTreeMap<records::ClaimKey, Weak<KeyTurn>>>,
 }
 
-/// Turn of one caller for its key, held until its answer ends.
-pub type KeyTurn = sync::OwnedMutexGuard<()>;
+/// Held by the caller that claims a key; contains the answer that others share.
+type KeyTurn = sync::Mutex<Weak<shared::SharedAnswer>>;
+
+/// Answer of a keyed request as one of its callers reads it.
+pub struct KeyedAnswer {
+    reader: shared::AnswerReader,
+    /// Lets later callers find the shared answer.
+    _turn: Arc<KeyTurn>,
+}
+
+impl KeyedAnswer {
+    /// Next part of the answer.
+    pub async fn next(&mut self) -> message::StreamPart {
+        self.reader.next().await
+    }
+}
 
 /// What one keyed request uses.
 pub struct KeyedRun<'a> {
@@ -61,13 +75,36 @@
     ///
     /// # Errors
     /// [`CallerError`] that says whether the request of the key ran.
-    pub async fn run(
-        &self,
-        run: &KeyedRun<'_>,
-    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
+    pub async fn run(&self, run: &KeyedRun<'_>) -> Result<KeyedAnswer, CallerError> {
+        let turn = self.turn(&run.key);
+        let mut slot = tokio::time::timeout_at(run.plan.due, turn.lock())
+            .await
+            .map_err(|_| failures::unknown())?;
+        let body_hash = body_hash(&run.plan.work);
+        let reader = match slot.upgrade() {
+            Some(answer) if answer.body_hash() != body_hash => {
+                return Err(claim_error(claim_attempt::ClaimAnswer::KeyReused));
+            }
+            Some(answer) => answer.reader(),
+            None => {
+                let attempt = self.claim_once(run).await?;
+                let runtime = &run.context.runtime;
+                let answer = shared::SharedAnswer::start(attempt, body_hash, runtime);
+                *slot = Arc::downgrade(&answer);
+                answer.reader()
+            }
+        };
+        drop(slot);
+        Ok(KeyedAnswer {
+            reader,
+            _turn: turn,
+        })
+    }
+
+    async fn claim_once(&self, run: &KeyedRun<'_>) -> Result<attempts::OpenAttempt, CallerError> {
         let mut targets = Vec::new();
         let outcome = self.claim(run, &mut targets).await;
-        let relayed = outcome.as_ref().ok().map(|(attempt, _)| attempt.request());
+        let relayed = outcome.as_ref().ok().map(attempts::OpenAttempt::request);
         for target in targets {
             if Some(target.request) != relayed {
                 let attempt = routing::Attempt {
@@ -86,11 +123,7 @@
         &self,
         run: &KeyedRun<'_>,
         targets: &mut Vec<attempts::AttemptTarget>,
-    ) -> Result<(attempts::OpenAttempt, KeyTurn), CallerError> {
-        let turn = self.turn(&run.key);
-        let turn = tokio::time::timeout_at(run.plan.due, turn.lock_owned())
-            .await
-            .map_err(|_| failures::unknown())?;
+    ) -> Result<attempts::OpenAttempt, CallerError> {
         let stream = self.log.stream(&run.key);
         let outcome = self.first_read(stream, run).await?;
         let target = (run.next)()?;
@@ -110,7 +143,7 @@
         let mut is_deadline_told = false;
         loop {
             if let ClaimAction::Relay(_) = action {
-                return Ok((open.ok_or_else(failures::unknown)?, turn));
+                return open.ok_or_else(failures::unknown);
             }
             if let ClaimAction::Answer(answer) = action {
                 return Err(claim_error(answer));
@@ -166,7 +199,7 @@
                 event
             }
             ClaimAction::Attach(claimed) => {
-                let (event, attempt) = attach(run, *claimed).await;
+                let (event, attempt) = attach(run, *claimed, targets).await;
                 *open = attempt;
                 event
             }
@@ -194,13 +227,13 @@
         }
     }
 
-    fn turn(&self, key: &records::ClaimKey) -> Arc<sync::Mutex<()>> {
+    fn turn(&self, key: &records::ClaimKey) -> Arc<KeyTurn> {
         let mut turns = self.turns.lock();
         if let Some(turn) = turns.get(key).and_then(Weak::upgrade) {
             return turn;
         }
         turns.retain(|_, turn| turn.strong_count() > 0);
-        let turn = Arc::<sync::Mutex<()>>::default();
+        let turn = Arc::<KeyTurn>::default();
         turns.insert(key.clone(), Arc::downgrade(&turn));
         turn
     }
@@ -239,12 +272,17 @@
 async fn attach(
     run: &KeyedRun<'_>,
     claimed: claim_attempt::ClaimedRequest,
+    targets: &[attempts::AttemptTarget],
 ) -> (ClaimEvent, Option<attempts::OpenAttempt>) {
     let Some((target, connection)) = locate(run, claimed) else {
         tokio::time::sleep(WAIT_INTERVAL).await;
         return (ClaimEvent::AgentUnreachable, None);
     };
-    let attempt = attempts::OpenAttempt::kept(run.context, target);
+    let own = targets.iter().find(|own| own.request == claimed.request);
+    let attempt = match own {
+        Some(own) => attempts::OpenAttempt::kept(run.context, own.clone()),
+        None => attempts::OpenAttempt::attached(run.context, target),
+    };
     let call = service::deadline(CALL_LIMIT);
     let reply = connection
         .client
@@ -296,6 +334,7 @@
 ) -> Option<(attempts::AttemptTarget, crate::sessions::Connection)> {
     let channel = run.context.directory.channel(claimed.agent)?;
     let connection = channel.connection()?;
+    // Only the entry that dispatched the request knows its replica.
     let endpoint = ids::EndpointId {
         agent: claimed.agent,
         replica: 0,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod server;
 pub mod sessions;
 pub mod settings;
+pub mod shared;
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -148,6 +148,44 @@
     assert_eq!(agent.agent.runs(), 1);
 }
 
+// Guards against `unknown` for a caller that waits behind another one of its key at the same entry
+// until its deadline, and against a caller whose answer ends with that of the first one.
+#[test_case(false; "the first caller stays")]
+#[test_case(true; "the first caller leaves")]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_one_entry_share_the_answer(is_leaving: bool) {
+    let log = LogServer::start().await;
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::service_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = ready_entry(&agent, &log).await;
+    let address = entry.address();
+    let first = tokio::spawn(async move { order(address, "coffee", "").await });
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    let deadline = "x-deadline-ms: 500\r\n";
+    let second = tokio::spawn(async move { order(address, "coffee", deadline).await });
+    // Past the deadline of the second caller, which applies only until the answer begins.
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    if is_leaving {
+        first.abort();
+    }
+    let reused = tokio::time::timeout(LIMIT, order(address, "tea", ""));
+    let reused = reused.await.unwrap();
+    assert!(reused.contains("key_reused"), "{reused}");
+    agent.agent.set_faults(Faults::default());
+    let second = tokio::time::timeout(LIMIT, second).await.unwrap().unwrap();
+    assert!(second.contains("order 7 stored"), "{second}");
+    if !is_leaving {
+        let first = tokio::time::timeout(LIMIT, first).await.unwrap().unwrap();
+        assert!(first.contains("order 7 stored"), "{first}");
+    }
+    assert_eq!(agent.agent.runs(), 1);
+}
+
 // Guards against one caller that gets the answer to another request of the same key.
 #[tokio::test(flavor = "multi_thread")]
 async fn key_with_another_body_is_refused() {
