Test changes of members and configuration while requests run, and faults in pairs

Cause: these cases had no test. Change: list changes at run time, a version withdrawn while its request runs, a silent connection of a leaving agent, a log outage with one key at two entries, a lost dispatch reply with a caller that is gone. Every call is bounded by a limit that fails.

--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -55,12 +55,14 @@
 }
 
 // Guards against an agent that works for a caller who is gone.
-#[test_case(false; "before the first token")]
-#[test_case(true; "after the first token")]
+#[test_case(false, false; "before the first token")]
+#[test_case(true, false; "after the first token")]
+#[test_case(false, true; "with a lost dispatch reply")]
 #[tokio::test(flavor = "multi_thread")]
-async fn vanished_caller_cancels_its_request(is_started: bool) {
+async fn vanished_caller_cancels_its_request(is_started: bool, lose_reply: bool) {
     let held = Faults {
         hold_after: Some(usize::from(is_started)),
+        lose_reply,
         ..Faults::default()
     };
     let agent = FakeAgent::new(1, support::text_parts(), held)
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -247,3 +247,58 @@
     post("notes").await;
     assert_eq!(agent.agent.last_adapter().as_deref(), Some("notes@2"));
 }
+
+// Guards against a second run (I5) or a wrong answer when the log is down while two entries receive
+// one key.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_at_two_entries_survives_a_log_outage() {
+    let log = LogServer::start().await;
+    let agent = FakeAgent::new(1, support::service_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let one = ready_entry(&agent, &log).await;
+    let other = ready_entry(&agent, &log).await;
+    log.log.set_down(time::Duration::from_millis(400));
+    let calls = [one.address(), other.address()].map(|address| order(address, "coffee", ""));
+    let answers = tokio::time::timeout(LIMIT, futures::future::join_all(calls)).await;
+    for answer in answers.unwrap() {
+        assert!(answer.contains("order 7 stored"), "{answer}");
+    }
+    assert_eq!(agent.agent.runs(), 1);
+}
+
+// Guards against a patch that interrupts a request on a version that it withdraws (I1), and against
+// new requests on that version (I8).
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_version_finishes_and_takes_no_more() {
+    let mut log = LogServer::start().await;
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = ready_entry(&agent, &log).await;
+    let address = entry.address();
+    let post = || async move {
+        let body = r#"{"model": "notes@1", "prompt": "count"}"#;
+        support::send(address, "POST", "/v1/completions", body).await
+    };
+    let running = tokio::spawn(post());
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    log.publish(vec![adapter(&[2], 2)]).await;
+    support::eventually(|| async {
+        let status = support::send(address, "GET", "/status", "").await;
+        status.contains("\"configuration_version\":2")
+    })
+    .await;
+    let refused = tokio::time::timeout(LIMIT, post()).await.unwrap();
+    assert!(refused.starts_with("HTTP/1.1 404"), "{refused}");
+    assert!(refused.contains("not_run"), "{refused}");
+    agent.agent.set_faults(Faults::default());
+    let answer = tokio::time::timeout(LIMIT, running).await.unwrap().unwrap();
+    assert!(answer.contains("one two three"), "{answer}");
+    assert_eq!(agent.agent.last_adapter().as_deref(), Some("notes@1"));
+    assert_eq!(agent.agent.dispatches(), 1);
+}
--- /dev/null
+++ b/crates/entry/tests/members.rs
@@ -0,0 +1,94 @@
+//! Agents that come, leave and fall silent while the entry runs.
+
+#[allow(dead_code)]
+mod support;
+
+use std::{sync::Arc, time};
+
+use platform::{instances, stand_in};
+use stand_in::{instances::MemoryInstances, log::MemoryLog, server, weights::MemoryWeights};
+use support::{FakeAgent, Faults, LOOPBACK, RunningAgent};
+
+const DRAIN: time::Duration = time::Duration::from_secs(5);
+/// Longer than any deadline in these tests; a call that takes longer hangs.
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+fn listed(agent: &RunningAgent, state: instances::InstanceState) -> instances::Instance {
+    instances::Instance {
+        address: agent.address,
+        role: instances::InstanceRole::Agent,
+        data_centre: "a".into(),
+        state,
+    }
+}
+
+async fn agent(incarnation: u64) -> RunningAgent {
+    FakeAgent::new(incarnation, support::text_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await
+}
+
+// Guards against an agent that is listed at run time and gets no work, and against one that gets
+// work after it was listed as leaving or removed (I6).
+#[tokio::test(flavor = "multi_thread")]
+async fn list_changes_take_effect_at_run_time() {
+    let list = Arc::new(MemoryInstances::default());
+    let services = server::PlatformServices {
+        log: Arc::new(MemoryLog::new(1 << 20)),
+        instances: list.clone(),
+        weights: Arc::new(MemoryWeights::default()),
+    };
+    let platform = server::PlatformServer::start(services).await.unwrap();
+    let [one, other] = [agent(1).await, agent(2).await];
+    let live = instances::InstanceState::Live;
+    list.set(vec![listed(&one, live)]);
+    let entry = support::start_listed_entry(platform.address(), DRAIN).await;
+    let call = || async {
+        let answer = tokio::time::timeout(LIMIT, support::complete(entry.address())).await;
+        answer.unwrap()
+    };
+    support::eventually(|| async { call().await.contains("one two three") }).await;
+    assert_eq!(other.agent.dispatches(), 0);
+    let leaving = instances::InstanceState::Leaving;
+    list.set(vec![listed(&one, leaving), listed(&other, live)]);
+    support::eventually(|| async {
+        call().await;
+        other.agent.dispatches() > 0
+    })
+    .await;
+    let before = one.agent.dispatches();
+    list.set(vec![listed(&other, live)]);
+    for _ in 0..20 {
+        let answer = call().await;
+        assert!(answer.contains("one two three"), "{answer}");
+    }
+    assert_eq!(one.agent.dispatches(), before);
+}
+
+// Guards against an answer that is lost when the connection falls silent at an agent that leaves
+// (I3, I7), and against new work for that agent (I6).
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connection_of_a_leaving_agent_loses_nothing() {
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let one = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = support::start_entry(&[&one], DRAIN).await;
+    let address = entry.address();
+    let call = tokio::spawn(support::complete(address));
+    support::eventually(|| async { one.agent.runs() == 1 }).await;
+    one.agent.set_faults(Faults {
+        leaving: true,
+        lose_poll: true,
+        ..Faults::default()
+    });
+    let answer = tokio::time::timeout(LIMIT, call).await.unwrap().unwrap();
+    assert!(answer.contains("one two three"), "{answer}");
+    let refused = tokio::time::timeout(LIMIT, support::complete(address)).await;
+    let refused = refused.unwrap();
+    assert!(refused.contains("\"outcome\":\"not_run\""), "{refused}");
+    assert_eq!(one.agent.dispatches(), 1);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -390,17 +390,9 @@
     log: Option<net::SocketAddr>,
 ) -> EntryServer {
     let entry = EntryServer::start(EntrySettings {
-        listen: LOOPBACK,
-        data_centre: "a".into(),
-        threads: 1,
         log,
-        claim_streams: 16,
-        claim_window: std::time::Duration::from_mins(10),
-        instance_list: None,
         agents: agents.iter().map(|agent| agent.address).collect(),
-        base_model: "base".into(),
-        default_deadline: time::Duration::from_secs(10),
-        drain,
+        ..settings(drain)
     })
     .unwrap();
     let connected = String::from("\"connected\":true");
@@ -411,3 +403,34 @@
     .await;
     entry
 }
+
+/// Entry that takes its agents from the instance list only.
+pub async fn start_listed_entry(list: net::SocketAddr, drain: time::Duration) -> EntryServer {
+    let entry = EntryServer::start(EntrySettings {
+        instance_list: Some(list),
+        ..settings(drain)
+    })
+    .unwrap();
+    eventually(|| async {
+        let status = send(entry.address(), "GET", "/status", "").await;
+        status.contains("\"connected\":true")
+    })
+    .await;
+    entry
+}
+
+fn settings(drain: time::Duration) -> EntrySettings {
+    EntrySettings {
+        listen: LOOPBACK,
+        data_centre: "a".into(),
+        threads: 1,
+        log: None,
+        claim_streams: 16,
+        claim_window: time::Duration::from_mins(10),
+        instance_list: None,
+        agents: Vec::new(),
+        base_model: "base".into(),
+        default_deadline: time::Duration::from_secs(10),
+        drain,
+    }
+}
