Spread the member test over both agents

Cause: with one adapter the policy preferred one agent, so a leaving agent that still got work was not seen. Change: 19 versions per round, with the agent leaving and then removed. Conclusion: the test sees the fault.

--- a/crates/entry/tests/members.rs
+++ b/crates/entry/tests/members.rs
@@ -43,26 +43,35 @@
     let live = instances::InstanceState::Live;
     list.set(vec![listed(&one, live)]);
     let entry = support::start_listed_entry(platform.address(), DRAIN).await;
-    let call = || async {
-        let answer = tokio::time::timeout(LIMIT, support::complete(entry.address())).await;
-        answer.unwrap()
+    let address = entry.address();
+    // Different versions prefer different agents.
+    let call = |version: u32| async move {
+        let body = format!(r#"{{"model": "notes@{version}", "prompt": "count"}}"#);
+        let answer = support::send(address, "POST", "/v1/completions", &body);
+        tokio::time::timeout(LIMIT, answer).await.unwrap()
     };
-    support::eventually(|| async { call().await.contains("one two three") }).await;
+    support::eventually(|| async { call(1).await.contains("one two three") }).await;
     assert_eq!(other.agent.dispatches(), 0);
     let leaving = instances::InstanceState::Leaving;
     list.set(vec![listed(&one, leaving), listed(&other, live)]);
     support::eventually(|| async {
-        call().await;
+        for version in 1..20 {
+            call(version).await;
+        }
         other.agent.dispatches() > 0
     })
     .await;
     let before = one.agent.dispatches();
-    list.set(vec![listed(&other, live)]);
-    for _ in 0..20 {
-        let answer = call().await;
-        assert!(answer.contains("one two three"), "{answer}");
+    for list_without_one in [false, true] {
+        if list_without_one {
+            list.set(vec![listed(&other, live)]);
+        }
+        for version in 1..20 {
+            let answer = call(version).await;
+            assert!(answer.contains("one two three"), "{answer}");
+        }
+        assert_eq!(one.agent.dispatches(), before);
     }
-    assert_eq!(one.agent.dispatches(), before);
 }
 
 // Guards against an answer that is lost when the connection falls silent at an agent that leaves
