--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -5,7 +5,8 @@
 
 use std::{net, sync::Arc, time};
 
-use operators::{configuration, patch, snapshot};
+use operators::{configuration, patch, replay, snapshot};
+use peers::message;
 use platform::{log::LogService, stand_in};
 use stand_in::{instances::MemoryInstances, log::MemoryLog, server, weights::MemoryWeights};
 use support::{FakeAgent, Faults, LOOPBACK};
@@ -60,6 +61,31 @@
     }
 }
 
+impl LogServer {
+    /// Image of the configuration as an agent offers it.
+    async fn image(&self) -> message::ConfigurationImage {
+        let batch = self.log.read("configuration", 0, 100).await.unwrap();
+        let records = batch.records.iter().map(|record| replay::RecordView {
+            offset: record.offset,
+            payload: &record.payload,
+        });
+        let records: Vec<_> = records.collect();
+        let view = replay::BatchView {
+            first_retained: batch.first_retained,
+            end: batch.end,
+            records: &records,
+        };
+        let mut reader = replay::ConfigurationReplay::new(time::Duration::from_hours(24));
+        reader.apply_batch(&view, decisions::units::Timestamp(0), &mut rand::rng());
+        let image = snapshot::encode_image(&reader.snapshot().unwrap());
+        message::ConfigurationImage {
+            version: image.version,
+            as_of: image.as_of,
+            state: image.state,
+        }
+    }
+}
+
 fn adapter(versions: &[u32], default_version: u32) -> patch::Change {
     let entry = configuration::AdapterEntry {
         name: "notes".into(),
@@ -302,3 +328,37 @@
     assert_eq!(agent.agent.last_adapter().as_deref(), Some("notes@1"));
     assert_eq!(agent.agent.dispatches(), 1);
 }
+
+// Guards against an entry that cannot start while the log is down, and against one that goes back
+// to an older configuration of another agent (I8).
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_log_takes_the_newest_image() {
+    let mut log = LogServer::start().await;
+    let older = log.image().await;
+    log.publish(vec![adapter(&[2], 2)]).await;
+    let newer = log.image().await;
+    log.log.set_down(time::Duration::from_mins(1));
+    let [one, other] =
+        [1, 2].map(|id| FakeAgent::new(id, support::text_parts(), Faults::default()));
+    one.set_image(older.clone());
+    other.set_image(newer);
+    let one = one.start(LOOPBACK).await;
+    let other = other.start(LOOPBACK).await;
+    let agents = [&one, &other];
+    let entry = support::start_entry_with_log(&agents, DRAIN, Some(log.server.address())).await;
+    let has_newer = || async {
+        let status = support::send(entry.address(), "GET", "/status", "").await;
+        status.contains("\"configuration_version\":2")
+    };
+    support::eventually(has_newer).await;
+    // From now on only the older image is offered.
+    other.agent.set_image(older);
+    for version in [1, 2].repeat(20) {
+        let body = format!(r#"{{"model": "notes@{version}", "prompt": "count"}}"#);
+        let answer = support::send(entry.address(), "POST", "/v1/completions", &body);
+        let answer = tokio::time::timeout(LIMIT, answer).await.unwrap();
+        assert_eq!(answer.contains("one two three"), version == 2, "{answer}");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    assert!(has_newer().await);
+}
--- a/crates/entry/tests/members.rs
+++ b/crates/entry/tests/members.rs
@@ -3,8 +3,14 @@
 #[allow(dead_code)]
 mod support;
 
-use std::{sync::Arc, time};
+use std::{
+    sync::{Arc, Mutex},
+    time,
+};
 
+use decisions::{ids, load_times, wait_routing};
+use entry::{clock, directory::AgentDirectory, metrics::EntryMetrics, sessions};
+use peers::message;
 use platform::{instances, stand_in};
 use stand_in::{instances::MemoryInstances, log::MemoryLog, server, weights::MemoryWeights};
 use support::{FakeAgent, Faults, LOOPBACK, RunningAgent};
@@ -101,3 +107,51 @@
     assert!(refused.contains("\"outcome\":\"not_run\""), "{refused}");
     assert_eq!(one.agent.dispatches(), 1);
 }
+
+/// Log drain that keeps the messages.
+#[derive(Default)]
+struct KeptRecords(Mutex<Vec<String>>);
+
+impl slog::Drain for KeptRecords {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &slog::Record<'_>, _: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        self.0.lock().unwrap().push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+// Guards against a session between two protocol versions, and against a refusal that does not say
+// which versions met.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_protocol_is_refused_with_both_versions() {
+    let old = Faults {
+        protocol: Some(77),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::text_parts(), old)
+        .start(LOOPBACK)
+        .await;
+    let records = Arc::new(KeptRecords::default());
+    let logger = slog::Logger::root(Arc::clone(&records), slog::o!());
+    let hello = message::Hello {
+        protocol: 76,
+        entry: ids::Incarnation(1),
+        data_centre: "a".into(),
+    };
+    let channel = sessions::AgentChannel::new(agent.address, hello, logger);
+    let metrics = Arc::new(EntryMetrics::new().unwrap());
+    let routing = wait_routing::WaitRouting::new(load_times::StoreLimits::default(), 1);
+    let clock = clock::EntryClock::default();
+    let directory = AgentDirectory::new("a", clock, metrics, Box::new(routing));
+    let task = sessions::ChannelTask::start(channel, Arc::new(directory));
+    support::eventually(|| async { !records.0.lock().unwrap().is_empty() }).await;
+    let message = records.0.lock().unwrap()[0].clone();
+    assert!(
+        message.contains("77") && message.contains("76"),
+        "{message}"
+    );
+    assert!(task.channel.connection().is_none());
+    task.close();
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,15 +8,15 @@
 };
 
 use decisions::ids;
-use entry::{server::EntryServer, settings::EntrySettings};
 use futures::{FutureExt, future, future::BoxFuture};
 use parking_lot::Mutex;
 use peers::{message, service};
 use tokio::{sync, task};
 
-pub use self::caller::*;
+pub use self::{caller::*, start::*};
 
 mod caller;
+mod start;
 
 pub const LOOPBACK: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
@@ -42,6 +42,8 @@
     pub await_tombstone: bool,
     /// The reply to the next cancel comes after a further cancel, or late.
     pub hold_cancel: bool,
+    /// Another protocol version, which refuses every entry.
+    pub protocol: Option<u32>,
     pub refuse: Option<message::RefusalReason>,
     pub leaving: bool,
 }
@@ -63,6 +65,8 @@
     sessions: u64,
     last_adapter: Option<String>,
     tombstones: Vec<ids::RequestId>,
+    /// Configuration for entries that cannot use the log.
+    image: Option<message::ConfigurationImage>,
 }
 
 pub struct RunningAgent {
@@ -92,6 +96,10 @@
         self.wake.notify_waiters();
     }
 
+    pub fn set_image(&self, image: message::ConfigurationImage) {
+        self.state.lock().image = Some(image);
+    }
+
     /// Adapter of the completion that was taken last.
     pub fn last_adapter(&self) -> Option<String> {
         self.state.lock().last_adapter.clone()
@@ -238,6 +246,11 @@
 
 impl service::AgentHandler for FakeAgent {
     fn hello(&self, _: message::Hello) -> BoxFuture<'_, message::HelloReply> {
+        let theirs = self.state.lock().faults.protocol;
+        if let Some(agent_protocol) = theirs {
+            let reply = message::HelloReply::ProtocolMismatch { agent_protocol };
+            return future::ready(reply).boxed();
+        }
         let session = {
             let mut state = self.state.lock();
             state.sessions += 1;
@@ -336,7 +349,7 @@
     }
 
     fn configuration(&self, _: u64) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
-        future::ready(None).boxed()
+        future::ready(self.state.lock().image.clone()).boxed()
     }
 }
 
@@ -347,90 +360,3 @@
         let _ = self.task.await;
     }
 }
-
-/// Answer of a completion in three parts of text.
-pub fn text_parts() -> Vec<message::StreamPart> {
-    let text = |text: &str| message::StreamPart::Text {
-        text: text.into(),
-        tokens: 1,
-    };
-    let end = message::StreamPart::Finished {
-        finish_reason: Some("stop".into()),
-        prompt_tokens: 1,
-        completion_tokens: 3,
-    };
-    vec![text("one "), text("two "), text("three"), end]
-}
-
-/// Answer of a plain service.
-pub fn service_parts() -> Vec<message::StreamPart> {
-    let head = message::StreamPart::Head {
-        status: 200,
-        content_type: None,
-    };
-    let end = message::StreamPart::Finished {
-        finish_reason: None,
-        prompt_tokens: 0,
-        completion_tokens: 0,
-    };
-    vec![
-        head,
-        message::StreamPart::Bytes(b"order 7 stored".into()),
-        end,
-    ]
-}
-
-pub async fn start_entry(agents: &[&RunningAgent], drain: time::Duration) -> EntryServer {
-    start_entry_with_log(agents, drain, None).await
-}
-
-pub async fn start_entry_with_log(
-    agents: &[&RunningAgent],
-    drain: time::Duration,
-    log: Option<net::SocketAddr>,
-) -> EntryServer {
-    let entry = EntryServer::start(EntrySettings {
-        log,
-        agents: agents.iter().map(|agent| agent.address).collect(),
-        ..settings(drain)
-    })
-    .unwrap();
-    let connected = String::from("\"connected\":true");
-    eventually(|| async {
-        let status = send(entry.address(), "GET", "/status", "").await;
-        status.matches(&connected).count() == agents.len()
-    })
-    .await;
-    entry
-}
-
-/// Entry that takes its agents from the instance list only.
-pub async fn start_listed_entry(list: net::SocketAddr, drain: time::Duration) -> EntryServer {
-    let entry = EntryServer::start(EntrySettings {
-        instance_list: Some(list),
-        ..settings(drain)
-    })
-    .unwrap();
-    eventually(|| async {
-        let status = send(entry.address(), "GET", "/status", "").await;
-        status.contains("\"connected\":true")
-    })
-    .await;
-    entry
-}
-
-fn settings(drain: time::Duration) -> EntrySettings {
-    EntrySettings {
-        listen: LOOPBACK,
-        data_centre: "a".into(),
-        threads: 1,
-        log: None,
-        claim_streams: 16,
-        claim_window: time::Duration::from_mins(10),
-        instance_list: None,
-        agents: Vec::new(),
-        base_model: "base".into(),
-        default_deadline: time::Duration::from_secs(10),
-        drain,
-    }
-}
