Test a start that arrives after its cancel

Cause: the case had no test for calls without a key. Change: a dispatch that reaches the agent after its tombstone must not run beside the next one. Conclusion: the call runs once.

--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -35,6 +35,7 @@
 #[test_case(Faults { lose_reply: true, ..Faults::default() }; "reply lost")]
 #[test_case(Faults { lose_dispatch: true, ..Faults::default() }; "dispatch lost")]
 #[test_case(Faults { lose_reply: true, lose_poll: true, ..Faults::default() }; "reply and poll lost")]
+#[test_case(Faults { await_tombstone: true, ..Faults::default() }; "start after the cancel")]
 #[tokio::test(flavor = "multi_thread")]
 async fn unrepeatable_call_runs_once(faults: Faults) {
     let one = FakeAgent::new(1, support::service_parts(), faults)
