--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -20,11 +20,12 @@
 use futures::{StreamExt, future, stream};
 use parking_lot::Mutex;
 use peers::message;
+use telemetry::logs;
 use tokio::runtime;
 
 use crate::{
-    admissions, attempts, configuration, directory, drain, failures, keyed, metrics, plans,
-    settings,
+    admissions, attempts, configuration, directory, drain, failures, journal, keyed, metrics,
+    plans, settings,
 };
 
 /// Waits for another endpoint after an agent was lost; a restarted agent is connected again within
@@ -37,27 +38,32 @@
     settings: settings::EntrySettings,
     incarnation: ids::Incarnation,
     sequence: AtomicU64,
-    context: attempts::AttemptContext,
-    retries: Mutex<retries::RetryPolicy>,
+    pub(crate) context: attempts::AttemptContext,
+    pub(crate) retries: Mutex<retries::RetryPolicy>,
     configuration: Arc<configuration::ConfigurationView>,
     drain: Arc<drain::DrainState>,
     desk: Arc<admissions::AdmissionDesk>,
     keyed: Option<Arc<keyed::KeyedRequests>>,
+    journal: Arc<journal::RequestJournal>,
 }
 
-/// Attempt whose first part has arrived.
-struct StartedAnswer {
-    attempt: attempts::OpenAttempt,
-    first: message::StreamPart,
-    /// Keeps other callers of the same key waiting.
-    turn: Option<keyed::KeyTurn>,
+/// Answer whose first part has arrived.
+pub(crate) struct StartedAnswer {
+    pub(crate) source: AnswerSource,
+    pub(crate) first: message::StreamPart,
+}
+
+/// Where the further parts of an answer come from.
+pub(crate) enum AnswerSource {
+    Attempt(attempts::OpenAttempt),
+    Keyed(keyed::KeyedAnswer),
 }
 
 /// Why an attempt is followed by another one.
-struct Setback {
-    reason: retries::RetryReason,
-    knowledge: retries::RunKnowledge,
-    error: CallerError,
+pub(crate) struct Setback {
+    pub(crate) reason: retries::RetryReason,
+    pub(crate) knowledge: retries::RunKnowledge,
+    pub(crate) error: CallerError,
 }
 
 impl RequestDispatcher {
@@ -86,6 +92,7 @@
             drain: Arc::default(),
             desk,
             keyed: None,
+            journal: Arc::new(journal::RequestJournal::new(logs::discard_logger())),
         }
     }
 
@@ -96,6 +103,13 @@
         self
     }
 
+    /// Writes log records on requests.
+    #[must_use]
+    pub fn with_journal(mut self, journal: journal::RequestJournal) -> Self {
+        self.journal = Arc::new(journal);
+        self
+    }
+
     /// State that a shutdown waits for.
     #[must_use]
     pub fn drain(&self) -> Arc<drain::DrainState> {
@@ -149,7 +163,7 @@
                 }
             };
             tried.push(target.endpoint);
-            let setback = match self.attempt(plan, target, waiting).await {
+            let setback = match self.attempt_hedged(plan, target, waiting, &mut tried).await {
                 Ok(answer) => return Ok(answer),
                 Err(setback) => setback,
             };
@@ -165,6 +179,8 @@
                 return Err(setback.error);
             }
             self.context.metrics.retried(setback.reason);
+            let reason = metrics::retry_label(setback.reason);
+            self.journal.retried(reason, &setback.error);
             last = Some(setback);
         }
     }
@@ -185,57 +201,17 @@
             },
             next: &next,
         };
-        let (mut attempt, turn) = keyed.run(&run).await?;
-        let first = attempt.next().await;
+        let mut answer = keyed.run(&run).await?;
+        let first = answer.next().await;
         if let message::StreamPart::Failed(failure) = &first {
             return Err(failures::stream_error(failure));
         }
-        Ok(StartedAnswer {
-            attempt,
-            first,
-            turn: Some(turn),
-        })
-    }
-
-    async fn attempt(
-        &self,
-        plan: &plans::RequestPlan,
-        target: attempts::AttemptTarget,
-        waiting: Option<admissions::WaitingEntry>,
-    ) -> Result<StartedAnswer, Setback> {
-        match attempts::dispatch(&self.context, target, plan).await {
-            attempts::DispatchEnd::Open(mut attempt) => {
-                let first = attempt.next().await;
-                if let message::StreamPart::Failed(failure) = &first {
-                    return Err(Setback {
-                        reason: retries::RetryReason::EndpointFailed,
-                        knowledge: failures::knowledge(failure),
-                        error: failures::stream_error(failure),
-                    });
-                }
-                if let Some(waiting) = waiting {
-                    waiting.answered(!plan.time_left().is_zero());
-                }
-                Ok(StartedAnswer {
-                    attempt,
-                    first,
-                    turn: None,
-                })
-            }
-            attempts::DispatchEnd::NotRun(reason) => Err(Setback {
-                reason: failures::retry_reason(reason),
-                knowledge: retries::RunKnowledge::NotRun,
-                error: failures::not_run(reason),
-            }),
-            attempts::DispatchEnd::Unknown => Err(Setback {
-                reason: retries::RetryReason::EndpointLost,
-                knowledge: retries::RunKnowledge::Unknown,
-                error: failures::unknown(),
-            }),
-        }
+        let source = AnswerSource::Keyed(answer);
+        Ok(StartedAnswer { source, first })
     }
 
-    fn choose(
+    /// Chooses the endpoint of an attempt.
+    pub(crate) fn choose(
         &self,
         plan: &plans::RequestPlan,
         tried: &[ids::EndpointId],
@@ -288,20 +264,25 @@
 
     fn relay(&self, answer: StartedAnswer, open: drain::OpenRequest) -> handler::AnswerStream {
         let metrics = Arc::clone(&self.context.metrics);
-        let state = Some((Some(answer.first), answer.attempt, (open, answer.turn)));
+        let journal = Arc::clone(&self.journal);
+        let state = Some((Some(answer.first), answer.source, open));
         stream::unfold(state, move |state| {
             let metrics = Arc::clone(&metrics);
+            let journal = Arc::clone(&journal);
             async move {
-                let (first, mut attempt, open) = state?;
+                let (first, mut source, open) = state?;
                 let part = match first {
                     Some(part) => part,
-                    None => attempt.next().await,
+                    None => source.next().await,
                 };
                 let part = answer_part(part);
                 let outcome = match &part {
                     AnswerPart::Finished { .. } => "finished",
-                    AnswerPart::Failed(_) => "failed",
-                    _ => return Some((part, Some((None, attempt, open)))),
+                    AnswerPart::Failed(error) => {
+                        journal.ended(error);
+                        "failed"
+                    }
+                    _ => return Some((part, Some((None, source, open)))),
                 };
                 metrics.ended(outcome);
                 Some((part, None))
@@ -320,11 +301,21 @@
     fn count_refusal<T>(&self, answer: Result<T, CallerError>) -> Result<T, CallerError> {
         if let Err(error) = &answer {
             self.context.metrics.refused(error);
+            self.journal.ended(error);
         }
         answer
     }
 }
 
+impl AnswerSource {
+    async fn next(&mut self) -> message::StreamPart {
+        match self {
+            Self::Attempt(attempt) => attempt.next().await,
+            Self::Keyed(answer) => answer.next().await,
+        }
+    }
+}
+
 impl handler::RequestHandler for RequestDispatcher {
     fn complete(
         &self,
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -5,13 +5,16 @@
 
 use std::{net, sync::Arc, time};
 
-use operators::{configuration, patch, snapshot};
+use operators::{configuration, patch, replay, snapshot};
+use peers::message;
 use platform::{log::LogService, stand_in};
 use stand_in::{instances::MemoryInstances, log::MemoryLog, server, weights::MemoryWeights};
 use support::{FakeAgent, Faults, LOOPBACK};
 use test_case::test_case;
 
 const DRAIN: time::Duration = time::Duration::from_secs(5);
+/// Longer than any deadline in these tests; a call that takes longer hangs.
+const LIMIT: time::Duration = time::Duration::from_secs(30);
 
 struct LogServer {
     log: Arc<MemoryLog>,
@@ -58,6 +61,31 @@
     }
 }
 
+impl LogServer {
+    /// Image of the configuration as an agent offers it.
+    async fn image(&self) -> message::ConfigurationImage {
+        let batch = self.log.read("configuration", 0, 100).await.unwrap();
+        let records = batch.records.iter().map(|record| replay::RecordView {
+            offset: record.offset,
+            payload: &record.payload,
+        });
+        let records: Vec<_> = records.collect();
+        let view = replay::BatchView {
+            first_retained: batch.first_retained,
+            end: batch.end,
+            records: &records,
+        };
+        let mut reader = replay::ConfigurationReplay::new(time::Duration::from_hours(24));
+        reader.apply_batch(&view, decisions::units::Timestamp(0), &mut rand::rng());
+        let image = snapshot::encode_image(&reader.snapshot().unwrap());
+        message::ConfigurationImage {
+            version: image.version,
+            as_of: image.as_of,
+            state: image.state,
+        }
+    }
+}
+
 fn adapter(versions: &[u32], default_version: u32) -> patch::Change {
     let entry = configuration::AdapterEntry {
         name: "notes".into(),
@@ -117,6 +145,73 @@
     assert_eq!(agent.agent.runs(), 1);
 }
 
+// Guards against `not_run` for a caller whose request was cancelled by another entry, which then
+// runs the key (I4), and against a run for each of the two callers (I5).
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_claim_shares_the_answer() {
+    let log = LogServer::start().await;
+    let late = Faults {
+        await_tombstone: true,
+        // The other entry claims only after this one has read the stream again.
+        hold_cancel: true,
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::service_parts(), late)
+        .start(LOOPBACK)
+        .await;
+    let one = ready_entry(&agent, &log).await;
+    let other = ready_entry(&agent, &log).await;
+    let address = one.address();
+    let first = tokio::spawn(async move { order(address, "coffee", "").await });
+    support::eventually(|| async { agent.agent.dispatches() == 1 }).await;
+    let second = order(other.address(), "coffee", "");
+    let both = futures::future::join(first, second);
+    let (first, second) = tokio::time::timeout(LIMIT, both).await.unwrap();
+    let first = first.unwrap();
+    assert!(first.contains("order 7 stored"), "{first}");
+    assert!(second.contains("order 7 stored"), "{second}");
+    assert!(agent.agent.cancels() > 0);
+    assert_eq!(agent.agent.runs(), 1);
+}
+
+// Guards against `unknown` for a caller that waits behind another one of its key at the same entry
+// until its deadline, and against a caller whose answer ends with that of the first one.
+#[test_case(false; "the first caller stays")]
+#[test_case(true; "the first caller leaves")]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_one_entry_share_the_answer(is_leaving: bool) {
+    let log = LogServer::start().await;
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::service_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = ready_entry(&agent, &log).await;
+    let address = entry.address();
+    let first = tokio::spawn(async move { order(address, "coffee", "").await });
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    let deadline = "x-deadline-ms: 500\r\n";
+    let second = tokio::spawn(async move { order(address, "coffee", deadline).await });
+    // Past the deadline of the second caller, which applies only until the answer begins.
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    if is_leaving {
+        first.abort();
+    }
+    let reused = tokio::time::timeout(LIMIT, order(address, "tea", ""));
+    let reused = reused.await.unwrap();
+    assert!(reused.contains("key_reused"), "{reused}");
+    agent.agent.set_faults(Faults::default());
+    let second = tokio::time::timeout(LIMIT, second).await.unwrap().unwrap();
+    assert!(second.contains("order 7 stored"), "{second}");
+    if !is_leaving {
+        let first = tokio::time::timeout(LIMIT, first).await.unwrap().unwrap();
+        assert!(first.contains("order 7 stored"), "{first}");
+    }
+    assert_eq!(agent.agent.runs(), 1);
+}
+
 // Guards against one caller that gets the answer to another request of the same key.
 #[tokio::test(flavor = "multi_thread")]
 async fn key_with_another_body_is_refused() {
@@ -178,3 +273,92 @@
     post("notes").await;
     assert_eq!(agent.agent.last_adapter().as_deref(), Some("notes@2"));
 }
+
+// Guards against a second run (I5) or a wrong answer when the log is down while two entries receive
+// one key.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_at_two_entries_survives_a_log_outage() {
+    let log = LogServer::start().await;
+    let agent = FakeAgent::new(1, support::service_parts(), Faults::default())
+        .start(LOOPBACK)
+        .await;
+    let one = ready_entry(&agent, &log).await;
+    let other = ready_entry(&agent, &log).await;
+    log.log.set_down(time::Duration::from_millis(400));
+    let calls = [one.address(), other.address()].map(|address| order(address, "coffee", ""));
+    let answers = tokio::time::timeout(LIMIT, futures::future::join_all(calls)).await;
+    for answer in answers.unwrap() {
+        assert!(answer.contains("order 7 stored"), "{answer}");
+    }
+    assert_eq!(agent.agent.runs(), 1);
+}
+
+// Guards against a patch that interrupts a request on a version that it withdraws (I1), and against
+// new requests on that version (I8).
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_version_finishes_and_takes_no_more() {
+    let mut log = LogServer::start().await;
+    let held = Faults {
+        hold_after: Some(1),
+        ..Faults::default()
+    };
+    let agent = FakeAgent::new(1, support::text_parts(), held)
+        .start(LOOPBACK)
+        .await;
+    let entry = ready_entry(&agent, &log).await;
+    let address = entry.address();
+    let post = || async move {
+        let body = r#"{"model": "notes@1", "prompt": "count"}"#;
+        support::send(address, "POST", "/v1/completions", body).await
+    };
+    let running = tokio::spawn(post());
+    support::eventually(|| async { agent.agent.runs() == 1 }).await;
+    log.publish(vec![adapter(&[2], 2)]).await;
+    support::eventually(|| async {
+        let status = support::send(address, "GET", "/status", "").await;
+        status.contains("\"configuration_version\":2")
+    })
+    .await;
+    let refused = tokio::time::timeout(LIMIT, post()).await.unwrap();
+    assert!(refused.starts_with("HTTP/1.1 404"), "{refused}");
+    assert!(refused.contains("not_run"), "{refused}");
+    agent.agent.set_faults(Faults::default());
+    let answer = tokio::time::timeout(LIMIT, running).await.unwrap().unwrap();
+    assert!(answer.contains("one two three"), "{answer}");
+    assert_eq!(agent.agent.last_adapter().as_deref(), Some("notes@1"));
+    assert_eq!(agent.agent.dispatches(), 1);
+}
+
+// Guards against an entry that cannot start while the log is down, and against one that goes back
+// to an older configuration of another agent (I8).
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_log_takes_the_newest_image() {
+    let mut log = LogServer::start().await;
+    let older = log.image().await;
+    log.publish(vec![adapter(&[2], 2)]).await;
+    let newer = log.image().await;
+    log.log.set_down(time::Duration::from_mins(1));
+    let [one, other] =
+        [1, 2].map(|id| FakeAgent::new(id, support::text_parts(), Faults::default()));
+    one.set_image(older.clone());
+    other.set_image(newer);
+    let one = one.start(LOOPBACK).await;
+    let other = other.start(LOOPBACK).await;
+    let agents = [&one, &other];
+    let entry = support::start_entry_with_log(&agents, DRAIN, Some(log.server.address())).await;
+    let has_newer = || async {
+        let status = support::send(entry.address(), "GET", "/status", "").await;
+        status.contains("\"configuration_version\":2")
+    };
+    support::eventually(has_newer).await;
+    // From now on only the older image is offered.
+    other.agent.set_image(older);
+    for version in [1, 2].repeat(20) {
+        let body = format!(r#"{{"model": "notes@{version}", "prompt": "count"}}"#);
+        let answer = support::send(entry.address(), "POST", "/v1/completions", &body);
+        let answer = tokio::time::timeout(LIMIT, answer).await.unwrap();
+        assert_eq!(answer.contains("one two three"), version == 2, "{answer}");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    assert!(has_newer().await);
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,19 +8,22 @@
 };
 
 use decisions::ids;
-use entry::{server::EntryServer, settings::EntrySettings};
 use futures::{FutureExt, future, future::BoxFuture};
 use parking_lot::Mutex;
 use peers::{message, report_update, service};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    sync, task,
-};
+use tokio::{sync, task};
+
+pub use self::{caller::*, start::*};
+
+mod caller;
+mod start;
 
 pub const LOOPBACK: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
 
+/// Longest time for which the reply to a cancel is held.
+const CANCEL_HOLD: time::Duration = time::Duration::from_secs(1);
+
 /// Faults of a fake agent, each independent of the others.
 #[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default)]
@@ -35,6 +38,12 @@
     pub lose_poll: bool,
     /// Streams stop after this number of parts until it is raised.
     pub hold_after: Option<usize>,
+    /// The next dispatch reaches the agent after its tombstone.
+    pub await_tombstone: bool,
+    /// The reply to the next cancel comes after a further cancel, or late.
+    pub hold_cancel: bool,
+    /// Another protocol version, which refuses every entry.
+    pub protocol: Option<u32>,
     pub refuse: Option<message::RefusalReason>,
     pub leaving: bool,
 }
@@ -56,6 +65,8 @@
     sessions: u64,
     last_adapter: Option<String>,
     tombstones: Vec<ids::RequestId>,
+    /// Configuration for entries that cannot use the log.
+    image: Option<message::ConfigurationImage>,
 }
 
 pub struct RunningAgent {
@@ -85,6 +96,10 @@
         self.wake.notify_waiters();
     }
 
+    pub fn set_image(&self, image: message::ConfigurationImage) {
+        self.state.lock().image = Some(image);
+    }
+
     /// Adapter of the completion that was taken last.
     pub fn last_adapter(&self) -> Option<String> {
         self.state.lock().last_adapter.clone()
@@ -231,6 +246,11 @@
 
 impl service::AgentHandler for FakeAgent {
     fn hello(&self, _: message::Hello) -> BoxFuture<'_, message::HelloReply> {
+        let theirs = self.state.lock().faults.protocol;
+        if let Some(agent_protocol) = theirs {
+            let reply = message::HelloReply::ProtocolMismatch { agent_protocol };
+            return future::ready(reply).boxed();
+        }
         let session = {
             let mut state = self.state.lock();
             state.sessions += 1;
@@ -248,14 +268,20 @@
     fn dispatch(&self, dispatch: message::Dispatch) -> BoxFuture<'_, message::DispatchReply> {
         async move {
             self.dispatches.fetch_add(1, atomic::Ordering::SeqCst);
-            let (loses_dispatch, loses_reply) = {
+            let (loses_dispatch, loses_reply, awaits_tombstone) = {
                 let faults = &mut self.state.lock().faults;
                 let loses_dispatch = std::mem::take(&mut faults.lose_dispatch);
-                (loses_dispatch, std::mem::take(&mut faults.lose_reply))
+                let loses_reply = std::mem::take(&mut faults.lose_reply);
+                let awaits_tombstone = std::mem::take(&mut faults.await_tombstone);
+                (loses_dispatch, loses_reply, awaits_tombstone)
             };
             if loses_dispatch {
                 future::pending::<()>().await;
             }
+            if awaits_tombstone {
+                let is_cancelled = || self.state.lock().tombstones.contains(&dispatch.request);
+                eventually(|| async { is_cancelled() }).await;
+            }
             let reply = self.take(&dispatch);
             if loses_reply {
                 future::pending::<()>().await;
@@ -308,11 +334,22 @@
             state.tombstones.push(request);
             message::CancelReply::NotRun
         };
-        future::ready(reply).boxed()
+        let is_held = std::mem::take(&mut state.faults.hold_cancel);
+        drop(state);
+        async move {
+            if is_held {
+                let limit = tokio::time::Instant::now() + CANCEL_HOLD;
+                while self.cancels() == 1 && tokio::time::Instant::now() < limit {
+                    tokio::time::sleep(time::Duration::from_millis(5)).await;
+                }
+            }
+            reply
+        }
+        .boxed()
     }
 
     fn configuration(&self, _: u64) -> BoxFuture<'_, Option<message::ConfigurationImage>> {
-        future::ready(None).boxed()
+        future::ready(self.state.lock().image.clone()).boxed()
     }
 }
 
@@ -323,123 +360,3 @@
         let _ = self.task.await;
     }
 }
-
-/// Answer of a completion in three parts of text.
-pub fn text_parts() -> Vec<message::StreamPart> {
-    let text = |text: &str| message::StreamPart::Text {
-        text: text.into(),
-        tokens: 1,
-    };
-    let end = message::StreamPart::Finished {
-        finish_reason: Some("stop".into()),
-        prompt_tokens: 1,
-        completion_tokens: 3,
-    };
-    vec![text("one "), text("two "), text("three"), end]
-}
-
-/// Answer of a plain service.
-pub fn service_parts() -> Vec<message::StreamPart> {
-    let head = message::StreamPart::Head {
-        status: 200,
-        content_type: None,
-    };
-    let end = message::StreamPart::Finished {
-        finish_reason: None,
-        prompt_tokens: 0,
-        completion_tokens: 0,
-    };
-    vec![
-        head,
-        message::StreamPart::Bytes(b"order 7 stored".into()),
-        end,
-    ]
-}
-
-pub async fn start_entry(agents: &[&RunningAgent], drain: time::Duration) -> EntryServer {
-    start_entry_with_log(agents, drain, None).await
-}
-
-pub async fn start_entry_with_log(
-    agents: &[&RunningAgent],
-    drain: time::Duration,
-    log: Option<net::SocketAddr>,
-) -> EntryServer {
-    let entry = EntryServer::start(EntrySettings {
-        listen: LOOPBACK,
-        data_centre: "a".into(),
-        threads: 1,
-        log,
-        claim_streams: 16,
-        claim_window: std::time::Duration::from_mins(10),
-        instance_list: None,
-        agents: agents.iter().map(|agent| agent.address).collect(),
-        base_model: "base".into(),
-        default_deadline: time::Duration::from_secs(10),
-        drain,
-    })
-    .unwrap();
-    let connected = String::from("\"connected\":true");
-    eventually(|| async {
-        let status = send(entry.address(), "GET", "/status", "").await;
-        status.matches(&connected).count() == agents.len()
-    })
-    .await;
-    entry
-}
-
-/// Repeats a check until it holds.
-pub async fn eventually<F: Future<Output = bool>>(check: impl Fn() -> F) {
-    for _ in 0..1000 {
-        if check().await {
-            return;
-        }
-        tokio::time::sleep(time::Duration::from_millis(10)).await;
-    }
-    panic!("the condition never held");
-}
-
-pub async fn send(address: net::SocketAddr, method: &str, path: &str, body: &str) -> String {
-    send_with(address, method, path, "", body).await
-}
-
-/// Sends a request with header lines that each end with a line break.
-pub async fn send_with(
-    address: net::SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &str,
-    body: &str,
-) -> String {
-    let mut stream = TcpStream::connect(address).await.unwrap();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response).await.unwrap();
-    String::from_utf8_lossy(&response).into_owned()
-}
-
-pub async fn complete(address: net::SocketAddr) -> String {
-    let body = r#"{"model": "notes@3", "prompt": "count"}"#;
-    send(address, "POST", "/v1/completions", body).await
-}
-
-pub async fn order(address: net::SocketAddr) -> String {
-    send(address, "POST", "/services/orders/new", "one coffee").await
-}
-
-/// Sends a body that the entry may stop reading before its end.
-pub async fn try_send(address: net::SocketAddr, path: &str, body: &str) -> String {
-    let (mut reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
-    let length = body.len();
-    let head = format!("POST {path} HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n");
-    let request = [head.as_bytes(), body.as_bytes()].concat();
-    let sending = tokio::spawn(async move { writer.write_all(&request).await });
-    let mut response = vec![0; 4096];
-    let length = reader.read(&mut response).await.unwrap();
-    sending.abort();
-    String::from_utf8_lossy(&response[..length]).into_owned()
-}
