Give each session its own cursor on a kept stream

Cause: `attach` moved a kept stream, so two entries with the same key took it from each other. The entry hid this by attaching again after 1 s of silence.

Change: a kept stream has a cursor (window, acks) per session. The engine waits only for the reader that is furthest ahead, and not for one whose session or caller is gone; the last ack of a closed stream says so with `is_closed`. The entry no longer attaches again after silence. A repeated dispatch that is `AlreadyKnown` attaches once; without this, `key_at_two_entries_runs_once` with a lost dispatch reply waited for ever.

Conclusion: two sessions read one kept answer whole, also when one is silent.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -312,11 +312,9 @@
             let Some(stream) = self.context.requests.stream(request) else {
                 continue;
             };
-            if stream.session() != session.id() {
-                continue;
-            }
-            bytes += stream.take_unsent(MAX_EVENTS, MAX_BYTES - bytes, events);
-            if stream.list() {
+            let id = session.id();
+            bytes += stream.take_unsent(id, MAX_EVENTS, MAX_BYTES - bytes, events);
+            if stream.list(id) {
                 session.push_ready(request);
             }
         }
--- a/crates/agent/src/requests.rs
+++ b/crates/agent/src/requests.rs
@@ -126,13 +126,12 @@
         self.wake(stream);
     }
 
-    /// Tells the session of a stream that parts wait.
+    /// Tells the sessions that read a stream that parts wait.
     pub fn wake(&self, stream: &streams::OutputStream) {
-        let Some(session) = self.sessions.find(stream.session()) else {
-            return;
-        };
-        if stream.list() {
-            session.push_ready(stream.request());
+        for session in stream.list_all() {
+            if let Some(session) = self.sessions.find(session) {
+                session.push_ready(stream.request());
+            }
         }
     }
 
@@ -141,21 +140,21 @@
         let Some(stream) = self.stream(ack.request) else {
             return;
         };
-        if stream.session() != session.id() {
-            return;
-        }
-        stream.acknowledge(ack.received, ack.consumed);
-        if stream.is_delivered() {
+        let id = session.id();
+        stream.acknowledge(id, ack);
+        if stream.is_delivered(id) {
             session.remove_stream(ack.request);
-            if !stream.is_kept() {
+            if stream.is_kept() {
+                stream.detach(id);
+            } else {
                 self.forget(ack.request);
             }
-        } else if stream.list() {
+        } else if stream.list(id) {
             session.push_ready(ack.request);
         }
     }
 
-    /// Moves the stream of a known request to another session, from part 0.
+    /// Lets a session read the stream of a known request from part 0.
     pub fn attach(
         &self,
         session: &sessions::AgentSession,
@@ -168,19 +167,15 @@
                 Some(_) => message::CancelReply::Finished,
             };
         };
-        let previous = stream.session();
         if !stream.attach(session.id()) {
             return message::CancelReply::Finished;
         }
-        if previous != session.id()
-            && let Some(previous) = self.sessions.find(previous)
-        {
-            previous.remove_stream(request);
-        }
         if !session.add_stream(request) {
+            // The session was closed meanwhile and does not detach this reader any more.
+            stream.detach(session.id());
             return message::CancelReply::Running;
         }
-        if stream.list() {
+        if stream.list(session.id()) {
             session.push_ready(request);
         }
         message::CancelReply::Running
@@ -231,15 +226,11 @@
         let mut open = Vec::new();
         for shard in &self.shards {
             let shard = shard.lock();
-            let is_open = |stream: &&Arc<streams::OutputStream>| !stream.is_delivered();
-            let streams = shard.streams.iter().filter(is_open);
+            let is_live = |session| self.sessions.find(session).is_some();
+            let streams = shard.streams.iter();
+            let streams = streams.filter(|stream| stream.is_open(is_live));
             open.extend(streams.map(|stream| stream.request()));
         }
-        open.retain(|request| {
-            self.stream(*request).is_some_and(|stream| {
-                !stream.is_ended() || self.sessions.find(stream.session()).is_some()
-            })
-        });
         open
     }
 
@@ -247,11 +238,11 @@
         let Some(stream) = self.stream(request) else {
             return;
         };
-        if stream.session() != session.id() {
+        if !stream.is_read_by(session.id()) {
             return;
         }
         if stream.is_kept() {
-            stream.release_window();
+            stream.detach(session.id());
             return;
         }
         self.cancel(request);
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -366,3 +366,27 @@
     });
     assert_eq!(summary.cut_off, 1);
 }
+
+// Guards against entries with the same key that take the answer from each other, and against one
+// that no longer polls and holds the answer back.
+#[test_case(true; "both poll")]
+#[test_case(false; "one is silent")]
+#[tokio::test(start_paused = true)]
+async fn two_sessions_read_a_kept_answer(polls: bool) {
+    let agent = TestAgent::start(2, KEPT).await;
+    let (one, other) = (agent.hello().await, agent.hello().await);
+    let mut kept = agent.work(one, 1, "a@1");
+    kept.keep_answer = true;
+    agent.dispatch(kept).await;
+    let incarnation = agent.state.incarnation;
+    let reply = agent.handler.attach(other, incarnation, request(1)).await;
+    assert_eq!(reply, CancelReply::Running);
+    let first = async {
+        if polls {
+            assert!(is_whole(&agent.read(one, 1).await));
+        }
+    };
+    let (parts, ()) = tokio::join!(agent.read(other, 1), first);
+    assert!(is_whole(&parts), "{parts:?}");
+    assert_eq!(agent.engine.state.lock().starts.len(), 1);
+}
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -108,6 +108,7 @@
                     request: request(sequence),
                     received: next,
                     consumed: next,
+                    is_closed: false,
                 }],
                 wait: message::POLL_WAIT,
                 configuration_version: 0,
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -387,6 +387,7 @@
         request: request(sequence),
         received: next,
         consumed: next,
+        is_closed: false,
     }
 }
 
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -16,10 +16,6 @@
 /// Wait for a replaced connection between two questions to an agent.
 const ASK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Silence of a kept answer after which it is attached again: another caller of the key may have
-/// moved the stream to its entry, and the agent sends it to one session at a time.
-const ATTACH_INTERVAL: time::Duration = time::Duration::from_secs(1);
-
 /// Parts of the entry that an attempt uses.
 #[derive(Clone)]
 pub struct AttemptContext {
@@ -183,7 +179,7 @@
 
     /// Next part of the answer; a stream that is gone ends with a failure of unknown outcome.
     pub async fn next(&mut self) -> message::StreamPart {
-        let part = self.receive().await.unwrap_or_else(interrupted);
+        let part = self.reader.next().await.unwrap_or_else(interrupted);
         let now = tokio::time::Instant::now();
         match &part {
             message::StreamPart::Finished { .. } => self.end(routing::AttemptEnd::Finished),
@@ -197,31 +193,6 @@
         part
     }
 
-    async fn receive(&mut self) -> Option<message::StreamPart> {
-        if !self.is_kept {
-            return self.reader.next().await;
-        }
-        loop {
-            match tokio::time::timeout(ATTACH_INTERVAL, self.reader.next()).await {
-                Ok(part) => return part,
-                Err(_) => self.attach_again().await,
-            }
-        }
-    }
-
-    async fn attach_again(&self) {
-        let Some(connection) = connection_to(&self.target) else {
-            return;
-        };
-        let call = service::deadline(CALL_LIMIT);
-        let (agent, request) = (connection.agent, self.target.request);
-        let attach = connection
-            .client
-            .attach(call, connection.session, agent, request);
-        // The next interval tries again.
-        let _ = attach.await;
-    }
-
     /// Ends an attempt that the agent no longer runs.
     fn close(mut self, end: routing::AttemptEnd) {
         self.end(end);
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -246,8 +246,20 @@
         .dispatch(connection.session, target.endpoint, target.request);
     let call = service::deadline(CALL_LIMIT);
     let event = match connection.client.dispatch(call, message).await {
-        Ok(message::DispatchReply::Accepted | message::DispatchReply::AlreadyKnown) => {
-            return (ClaimEvent::Accepted, Some(attempt));
+        Ok(message::DispatchReply::Accepted) => return (ClaimEvent::Accepted, Some(attempt)),
+        // Parts that were sent before are sent to this attempt only after it has attached.
+        Ok(message::DispatchReply::AlreadyKnown) => {
+            let call = service::deadline(CALL_LIMIT);
+            let (agent, request) = (connection.agent, target.request);
+            let attach = connection
+                .client
+                .attach(call, connection.session, agent, request);
+            match attach.await {
+                Ok(message::CancelReply::Running) => return (ClaimEvent::Accepted, Some(attempt)),
+                Ok(message::CancelReply::NotRun) => ClaimEvent::RefusedCancelled,
+                Ok(_) => ClaimEvent::IncarnationGone,
+                Err(_) => ClaimEvent::DispatchLost,
+            }
         }
         Ok(message::DispatchReply::Refused { reason, .. }) => match reason {
             message::RefusalReason::Cancelled => ClaimEvent::RefusedCancelled,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -82,6 +82,8 @@
             Ok(position) => shard.streams[position] = stream,
             Err(position) => shard.streams.insert(position, stream),
         }
+        // The ack of an earlier reader would close the new one at the agent.
+        shard.closed.retain(|ack| ack.request != request);
         drop(shard);
         StreamReader {
             request,
@@ -148,7 +150,10 @@
         let mut shard = self.shards[shard_of(request)].lock();
         if let Ok(position) = shard.position(request) {
             let ack = shard.streams.remove(position).ack();
-            shard.closed.push(ack);
+            shard.closed.push(message::StreamAck {
+                is_closed: true,
+                ..ack
+            });
         }
     }
 
@@ -189,6 +194,7 @@
             request: self.request,
             received: self.received,
             consumed,
+            is_closed: false,
         }
     }
 }
@@ -271,6 +277,7 @@
             request: REQUEST,
             received: 0,
             consumed: 0,
+            is_closed: false,
         };
         assert_eq!(table.changed_acks(), [ack]);
         assert!(table.changed_acks().is_empty());
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; peers of different versions refuse each other.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 /// Longest time an agent holds a poll that has nothing to report.
 pub const POLL_WAIT: time::Duration = time::Duration::from_millis(500);
 /// Silence after which a connection is replaced and a session is suspended. A suspended session
@@ -133,6 +133,8 @@
     pub received: u64,
     /// Next part that the caller has not taken; opens the stream's window.
     pub consumed: u64,
+    /// Whether the caller is gone, so that the stream no longer waits for it.
+    pub is_closed: bool,
 }
 
 /// Heartbeat of an entry that asks for the output of its streams.
