Share the load budget by the demand of the other agents

Cause: the entry always told a demand of 0, and the agent took it as of now, so every agent claimed most of the store's rate.

Change: `Poll` carries the waiting loads of the other agents, the number of agents and the age of the oldest report, which the entry takes from the load reports. For 3 s a view of more agents takes precedence over one of an entry that has just started. The mean demand is reserved for every agent that the view lacks.

What the entry counts is not tested yet.

--- a/crates/agent/src/assembly.rs
+++ b/crates/agent/src/assembly.rs
@@ -70,7 +70,6 @@
     handler::AgentState {
         incarnation,
         data_centre: settings.data_centre.clone(),
-        agents: settings.agents,
         reports: reports::ReportBoard::new(clock, names.collect()),
         context,
         replicas,
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use decisions::{ids, load_budget};
+use decisions::ids;
 use endpoints::{client, service::ServiceCall};
 use futures::{FutureExt, future::BoxFuture};
 use operators::snapshot;
@@ -26,8 +26,6 @@
 pub struct AgentState {
     pub incarnation: ids::Incarnation,
     pub data_centre: String,
-    /// Agents that share the weight store.
-    pub agents: u32,
     pub context: Arc<replica::AgentContext>,
     pub replicas: Vec<Arc<replica::ReplicaDriver>>,
     pub services: Vec<Arc<services::ServiceCaller>>,
@@ -261,7 +259,7 @@
         let Some(session) = session.filter(|session| session.touch(context.clock.now())) else {
             return message::PollReply::SessionClosed;
         };
-        self.note_demand(poll.demand);
+        self.note_demand(&poll.demand);
         let number = {
             let mut polls = session.polls();
             *polls += 1;
@@ -321,20 +319,12 @@
         true
     }
 
-    fn note_demand(&self, others: u32) {
-        let loads: usize = self
-            .replicas
-            .iter()
-            .map(|replica| replica.waiting_loads())
-            .sum();
+    fn note_demand(&self, peers: &message::PeerDemand) {
+        let replicas = self.replicas.iter();
+        let loads: usize = replicas.map(|replica| replica.waiting_loads()).sum();
+        let own = u32::try_from(loads).unwrap_or(u32::MAX);
         let now = self.context.clock.now();
-        let demand = load_budget::LoadDemand {
-            own: u32::try_from(loads).unwrap_or(u32::MAX),
-            others,
-            agents: self.agents,
-            reported: now,
-        };
-        self.context.budget.on_demand(demand, now);
+        self.context.budget.on_demand(own, peers, now);
     }
 
     fn attach(
--- a/crates/agent/src/store_budget.rs
+++ b/crates/agent/src/store_budget.rs
@@ -4,6 +4,11 @@
 
 use decisions::{load_budget, units};
 use parking_lot::Mutex;
+use peers::message;
+
+/// Age beyond which a view of the demand gives way to one that counts fewer agents. It equals the
+/// age beyond which `load_budget` no longer uses reports.
+const VIEW_LIFE: time::Duration = time::Duration::from_secs(3);
 
 /// Load budget that takes back a permit for which no load could start.
 pub struct StoreBudget {
@@ -14,6 +19,33 @@
     budget: load_budget::LoadBudget,
     /// Permits that were taken and given back unused.
     unused: u32,
+    peers: PeerView,
+    /// Most agents that were ever known.
+    agents: u32,
+}
+
+/// Newest demand of the other agents that an entry told.
+struct PeerView {
+    waiting: u32,
+    agents: u32,
+    /// Time of the oldest report in the view.
+    reported: units::Timestamp,
+}
+
+impl PeerView {
+    /// Demand per agent, assumed for each agent that the view lacks: one that no entry reaches may
+    /// still run and take the static share.
+    fn mean_demand(&self, own: u32) -> u32 {
+        let total = self.waiting.saturating_add(own);
+        total.div_ceil(self.agents.max(1))
+    }
+
+    /// Whether another view replaces this one. Views of several entries are never added up. An
+    /// entry that has just started knows few agents, and its view would grant too large a share.
+    fn gives_way_to(&self, other: &Self, now: units::Timestamp) -> bool {
+        let is_old = now.since(self.reported) > VIEW_LIFE;
+        is_old || (other.reported >= self.reported && other.agents >= self.agents)
+    }
 }
 
 impl StoreBudget {
@@ -23,7 +55,16 @@
         let policy = Box::new(load_budget::DemandControl::new(agents));
         let budget = load_budget::LoadBudget::new(policy, seed, now);
         Self {
-            state: Mutex::new(BudgetState { budget, unused: 0 }),
+            state: Mutex::new(BudgetState {
+                budget,
+                unused: 0,
+                agents,
+                peers: PeerView {
+                    waiting: 0,
+                    agents,
+                    reported: now,
+                },
+            }),
         }
     }
 
@@ -48,8 +89,30 @@
         self.state.lock().budget.finish(elapsed, now);
     }
 
-    /// Takes the newest demand.
-    pub fn on_demand(&self, demand: load_budget::LoadDemand, now: units::Timestamp) {
-        self.state.lock().budget.on_demand(demand, now);
+    /// Takes the demand of the other agents as an entry tells it, with that of this agent now.
+    pub fn on_demand(&self, own: u32, peers: &message::PeerDemand, now: units::Timestamp) {
+        let mut state = self.state.lock();
+        let view = PeerView {
+            waiting: peers.waiting,
+            agents: peers.agents,
+            reported: units::Timestamp(now.0.saturating_sub(age_micros(peers.age))),
+        };
+        if state.peers.gives_way_to(&view, now) {
+            state.peers = view;
+        }
+        state.agents = state.agents.max(state.peers.agents);
+        let missing = state.agents - state.peers.agents;
+        let reserved = state.peers.mean_demand(own).saturating_mul(missing);
+        let demand = load_budget::LoadDemand {
+            own,
+            others: state.peers.waiting.saturating_add(reserved),
+            agents: state.peers.agents,
+            reported: state.peers.reported,
+        };
+        state.budget.on_demand(demand, now);
     }
 }
+
+fn age_micros(age: time::Duration) -> u64 {
+    u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -112,7 +112,7 @@
                 }],
                 wait: message::POLL_WAIT,
                 configuration_version: 0,
-                demand: 0,
+                demand: message::PeerDemand::default(),
             };
             let is_ended = matches!(
                 parts.last(),
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -344,7 +344,7 @@
             acks,
             wait,
             configuration_version: 0,
-            demand: 0,
+            demand: message::PeerDemand::default(),
         };
         self.handler.poll(poll).await
     }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -39,6 +39,7 @@
     agent: ids::Incarnation,
     channel: Arc<sessions::AgentChannel>,
     report: message::LoadReport,
+    reported: units::Timestamp,
     is_connected: bool,
 }
 
@@ -226,6 +227,7 @@
             agent: welcome.agent,
             channel: Arc::clone(channel),
             report: welcome.report.clone(),
+            reported: self.clock.now(),
             is_connected: true,
         };
         let mut agents = self.agents.lock();
@@ -261,6 +263,7 @@
         let mut agents = self.agents.lock();
         if let Ok(position) = position(&agents, agent) {
             agents[position].report = report.clone();
+            agents[position].reported = self.clock.now();
         }
         drop(agents);
         if report.leaving {
@@ -303,6 +306,27 @@
     fn configuration_version(&self) -> u64 {
         self.version.load(Ordering::Relaxed)
     }
+
+    fn demand(&self, agent: ids::Incarnation) -> message::PeerDemand {
+        let now = self.clock.now();
+        let agents = self.agents.lock();
+        let mut demand = message::PeerDemand {
+            agents: 1,
+            ..message::PeerDemand::default()
+        };
+        // An agent that is gone for longer than the silence limit is given up; until then it may
+        // still start loads.
+        let is_counted = |known: &&KnownAgent| {
+            known.agent != agent
+                && (known.is_connected || now.since(known.reported) < message::SILENCE_LIMIT)
+        };
+        for known in agents.iter().filter(is_counted) {
+            demand.agents += 1;
+            demand.waiting = demand.waiting.saturating_add(known.report.waiting_loads);
+            demand.age = demand.age.max(now.since(known.reported));
+        }
+        demand
+    }
 }
 
 fn position(agents: &[KnownAgent], agent: ids::Incarnation) -> Result<usize, usize> {
--- a/crates/entry/src/sessions.rs
+++ b/crates/entry/src/sessions.rs
@@ -39,6 +39,8 @@
     fn replaced(&self, agent: ids::Incarnation);
     /// Version of the configuration in effect, for the poll.
     fn configuration_version(&self) -> u64;
+    /// Load demand of all agents but this one, for the poll.
+    fn demand(&self, agent: ids::Incarnation) -> message::PeerDemand;
 }
 
 /// Channel to one agent.
@@ -221,7 +223,7 @@
             acks,
             wait,
             configuration_version: observer.configuration_version(),
-            demand: 0,
+            demand: observer.demand(connection.agent),
         };
         let call = connection.client.poll(service::deadline(POLL_LIMIT), poll);
         match call.await {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -144,8 +144,19 @@
     pub acks: Vec<StreamAck>,
     pub wait: time::Duration,
     pub configuration_version: u64,
-    /// Load demand in the rest of the region, in adapters waiting.
-    pub demand: u32,
+    /// Load demand of the other agents, as this entry knows it.
+    pub demand: PeerDemand,
+}
+
+/// Loads that wait at other agents, as known to one entry.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerDemand {
+    /// Adapters that wait for a load at all other agents.
+    pub waiting: u32,
+    /// Agents that the entry knows, the polled one included.
+    pub agents: u32,
+    /// Age of the oldest report in `waiting`.
+    pub age: time::Duration,
 }
 
 /// Answer to [`Poll`].
