Park long requests while short ones wait

Cause: the driver never called `QueuePolicy::park`, so long requests could hold the whole batch.

Change: `ModelEngine::park` posts `{"keep": true}` to the cancel route. The stand-in engine frees the place, keeps the state and queues the request again on resume. The driver parks and resumes; the relay continues at the next text event. The pin is held until the request ends.

Its effect on the p99 of short requests is not measured, and the service time that the queue observes includes the time while parked.

--- a/crates/agent/src/generation.rs
+++ b/crates/agent/src/generation.rs
@@ -5,6 +5,7 @@
 use endpoints::client::{EndpointError, Generation, ModelEngine, TokenEvent, TokenStream};
 use futures::StreamExt;
 use peers::message;
+use tokio::sync::watch;
 
 use crate::{failures, streams};
 
@@ -22,13 +23,14 @@
     engine: &dyn ModelEngine,
     generation: &Generation,
     stream: &streams::OutputStream,
+    parked: watch::Receiver<bool>,
     produced: impl Fn(u32),
 ) -> message::StreamPart {
     let part = tokio::select! {
         // First, so that a request cancelled just before its start is not sent to the engine.
         biased;
         () = stream.wait_cancelled() => failures::cancelled(message::RunOutcome::Failed),
-        part = relay(engine, generation, stream, produced) => part,
+        part = relay(engine, generation, stream, parked, produced) => part,
     };
     // An engine continues a generation that no one reads, so every early end is told to it.
     let needs_cancel = matches!(&part, message::StreamPart::Failed(failure)
@@ -43,8 +45,10 @@
     engine: &dyn ModelEngine,
     generation: &Generation,
     stream: &streams::OutputStream,
+    mut parked: watch::Receiver<bool>,
     produced: impl Fn(u32),
 ) -> message::StreamPart {
+    let mut may_park = true;
     let mut received = 0;
     let mut tokens = match engine.generate(generation.clone()).await {
         Ok(tokens) => tokens,
@@ -56,7 +60,21 @@
     };
     let mut attempts = 0;
     loop {
-        match tokens.next().await {
+        let event = tokio::select! {
+            event = tokens.next() => event,
+            true = is_parked(&mut parked), if may_park => {
+                // An engine that cannot pause a generation goes on with it.
+                may_park = engine.park(generation.request).await.is_ok();
+                if may_park && parked.wait_for(|parked| !*parked).await.is_ok() {
+                    match resume(engine, generation, received).await {
+                        Ok(resumed) => tokens = resumed,
+                        Err(error) => return failures::from_error(&error, lost_outcome(received)),
+                    }
+                }
+                continue;
+            }
+        };
+        match event {
             Some(Ok(TokenEvent::Text { text, tokens })) => {
                 received += 1;
                 attempts = 0;
@@ -107,6 +125,11 @@
     }
 }
 
+/// Waits until the request is to be parked; false when it never is.
+async fn is_parked(parked: &mut watch::Receiver<bool>) -> bool {
+    parked.wait_for(|parked| *parked).await.is_ok()
+}
+
 async fn resume(
     engine: &dyn ModelEngine,
     generation: &Generation,
--- a/crates/agent/src/replica.rs
+++ b/crates/agent/src/replica.rs
@@ -13,11 +13,11 @@
 use endpoints::client::{Generation, ModelEngine};
 use parking_lot::Mutex;
 use peers::message;
-use tokio::sync;
+use tokio::sync::{self, watch};
 
 use crate::{
     clock, failures, generation, metrics,
-    replica_state::{ReplicaState, WaitingTask},
+    replica_state::{ParkSwitch, ReplicaState, WaitingTask},
     requests, settings, store_budget, streams,
 };
 
@@ -224,6 +224,7 @@
             .iter()
             .filter_map(|queued| state.take(queued.request))
             .collect();
+        state.park(usize::from(self.settings.batch_limit));
         self.start_requests(&mut state, now);
         self.start_loads(&mut state, now);
         let is_waiting = state.queue.waiting() > 0;
@@ -248,8 +249,13 @@
                 limit,
                 resident: &resident,
             };
-            let Some(queueing::QueuePick::Start(queued)) = state.queue.next(&batch, now) else {
-                return;
+            let queued = match state.queue.next(&batch, now) {
+                Some(queueing::QueuePick::Start(queued)) => queued,
+                Some(queueing::QueuePick::Resume(request)) => {
+                    state.unpark(request);
+                    continue;
+                }
+                None => return,
             };
             let Some(waiting) = state.take(queued.request) else {
                 continue;
@@ -278,24 +284,35 @@
             if waiting.is_stalled {
                 self.context.metrics.stall(now.since(waiting.arrived));
             }
-            tokio::spawn(Arc::clone(self).run(waiting.task, pin));
+            let (parked, receiver) = watch::channel(false);
+            state.switches.push(ParkSwitch {
+                request: queued.request,
+                parked,
+            });
+            tokio::spawn(Arc::clone(self).run(waiting.task, pin, receiver));
         }
     }
 
-    async fn run(self: Arc<Self>, task: CompletionTask, pin: slots::AdapterPin) {
+    async fn run(
+        self: Arc<Self>,
+        task: CompletionTask,
+        pin: slots::AdapterPin,
+        parked: watch::Receiver<bool>,
+    ) {
         let started = self.context.clock.now();
         let request = task.generation.request;
         let produced = |tokens| {
             self.state.lock().add_tokens(request, tokens);
             self.context.requests.wake(&task.stream);
         };
-        let last = generation::run(&*self.engine, &task.generation, &task.stream, produced).await;
+        let (generation, stream) = (&task.generation, &task.stream);
+        let last = generation::run(&*self.engine, generation, stream, parked, produced).await;
         if matches!(last, message::StreamPart::Failed(_)) {
             self.status_wanted.notify_one();
         }
         let now = self.context.clock.now();
         let mut state = self.state.lock();
-        state.running.retain(|running| running.request != request);
+        state.end(request);
         state.queue.observe(now.since(started));
         state.slots.unpin(pin, now);
         drop(state);
--- a/crates/agent/src/replica_state.rs
+++ b/crates/agent/src/replica_state.rs
@@ -1,8 +1,13 @@
 //! Queue, slots and batch of one replica.
 
-use decisions::{eviction, ids, queueing, slots, units};
+use decisions::{
+    eviction, ids,
+    queueing::{self, QueuePolicy},
+    slots, units,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
 
 use crate::replica::CompletionTask;
 
@@ -13,6 +18,10 @@
     /// Sorted by request.
     pub(crate) waiting: Vec<WaitingTask>,
     pub(crate) running: Vec<queueing::RunningRequest>,
+    /// Long requests that the engine has paused in favour of short ones.
+    pub(crate) parked: Vec<queueing::RunningRequest>,
+    /// Switches of the running and the parked requests.
+    pub(crate) switches: Vec<ParkSwitch>,
     /// Names of adapters, sorted by id.
     names: Vec<AdapterName>,
     pub(crate) rng: ChaCha8Rng,
@@ -31,6 +40,12 @@
     pub(crate) is_stalled: bool,
 }
 
+/// Tells the task of a request whether it is parked.
+pub(crate) struct ParkSwitch {
+    pub(crate) request: ids::RequestId,
+    pub(crate) parked: watch::Sender<bool>,
+}
+
 struct AdapterName {
     id: ids::AdapterId,
     adapter: ids::AdapterRef,
@@ -45,6 +60,8 @@
             slots: slots::AdapterSlots::new(capacity, policy),
             waiting: Vec::new(),
             running: Vec::new(),
+            parked: Vec::new(),
+            switches: Vec::new(),
             names: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(rand::random()),
             fencing: None,
@@ -101,6 +118,47 @@
             .binary_search_by_key(&request, |waiting| waiting.task.generation.request)
     }
 
+    /// Pauses the long requests that keep short ones waiting.
+    pub(crate) fn park(&mut self, batch_limit: usize) {
+        let batch = queueing::BatchView {
+            running: &self.running,
+            limit: batch_limit,
+            resident: &self.slots.resident(),
+        };
+        for request in self.queue.park(&batch) {
+            let running = &mut self.running;
+            self.parked
+                .extend(running.extract_if(.., |running| running.request == request));
+            self.switch(request, true);
+        }
+    }
+
+    /// Continues a parked request.
+    pub(crate) fn unpark(&mut self, request: ids::RequestId) {
+        let parked = &mut self.parked;
+        self.running
+            .extend(parked.extract_if(.., |parked| parked.request == request));
+        self.switch(request, false);
+    }
+
+    /// Removes a request that has ended.
+    pub(crate) fn end(&mut self, request: ids::RequestId) {
+        self.running.retain(|running| running.request != request);
+        self.switches.retain(|switch| switch.request != request);
+        let parked = self.parked.len();
+        self.parked.retain(|parked| parked.request != request);
+        if self.parked.len() < parked {
+            self.queue.remove(request);
+        }
+    }
+
+    fn switch(&self, request: ids::RequestId, is_parked: bool) {
+        let switches = self.switches.iter();
+        for switch in switches.filter(|switch| switch.request == request) {
+            switch.parked.send_replace(is_parked);
+        }
+    }
+
     pub(crate) fn add_tokens(&mut self, request: ids::RequestId, tokens: u32) {
         let running = self.running.iter_mut();
         for running in running.filter(|running| running.request == request) {
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -390,3 +390,22 @@
     assert!(is_whole(&parts), "{parts:?}");
     assert_eq!(agent.engine.state.lock().starts.len(), 1);
 }
+
+// Guards against long requests that keep short ones waiting, against a parked answer that loses or
+// repeats tokens, and against the eviction of its adapter.
+#[tokio::test(start_paused = true)]
+async fn long_requests_are_parked_and_stay_whole() {
+    let agent = TestAgent::start(1, KEPT).await;
+    agent.engine.state.lock().event_tokens = 1000;
+    let session = agent.hello().await;
+    for sequence in 1..=12 {
+        agent.dispatch(agent.work(session, sequence, "a@1")).await;
+    }
+    agent.dispatch(agent.work(session, 13, "b@1")).await;
+    let answers = read_all(&agent, session, 13).await;
+    assert!(answers.iter().all(|parts| is_whole(parts)), "{answers:?}");
+    let engine = agent.engine.state.lock();
+    assert!(!engine.parks.is_empty());
+    assert_eq!(engine.parks.len(), engine.resumes.len());
+    assert_eq!((engine.starts.len(), engine.unloads_in_use), (13, 0));
+}
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -38,6 +38,9 @@
     pub open: Vec<OpenGeneration>,
     pub unloads_in_use: u32,
     pub cancels: u32,
+    pub parks: Vec<ids::RequestId>,
+    /// Tokens in one text event, 1 if 0.
+    pub event_tokens: u32,
     pub load_faults: u32,
     pub start_fault: Option<StartFault>,
     /// Token before which the next stream breaks off.
@@ -119,7 +122,8 @@
             let step = state.lock().token_step;
             tokio::time::sleep(step).await;
             let text = index.to_string();
-            Some((Ok(TokenEvent::Text { text, tokens: 1 }), (index + 1, state)))
+            let tokens = state.lock().event_tokens.max(1);
+            Some((Ok(TokenEvent::Text { text, tokens }), (index + 1, state)))
         });
         tokens.boxed()
     }
@@ -222,6 +226,11 @@
         })
     }
 
+    fn park(&self, request: ids::RequestId) -> BoxFuture<'_, Result<(), EndpointError>> {
+        self.state.lock().parks.push(request);
+        Box::pin(async { Ok(()) })
+    }
+
     fn cancel(&self, request: ids::RequestId) -> BoxFuture<'_, Result<(), EndpointError>> {
         let mut state = self.state.lock();
         state.cancels += 1;
--- a/crates/endpoints/src/client.rs
+++ b/crates/endpoints/src/client.rs
@@ -133,6 +133,10 @@
         from: u64,
     ) -> future::BoxFuture<'a, Result<TokenStream, EndpointError>>;
 
+    /// Pauses a generation: its place in the batch becomes free and its state is kept until
+    /// [`Self::resume`] or [`Self::cancel`].
+    fn park(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>>;
+
     /// Stops a generation.
     fn cancel(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>>;
 }
--- a/crates/endpoints/src/http_engine.rs
+++ b/crates/endpoints/src/http_engine.rs
@@ -183,9 +183,11 @@
         Ok(self.read_events(model, response.into_body(), from))
     }
 
-    async fn stop(&self, request: ids::RequestId) -> Result<(), EndpointError> {
+    async fn stop(&self, request: ids::RequestId, keep: bool) -> Result<(), EndpointError> {
         let path = format!("/v1/requests/{request}/cancel");
-        let sending = self.send(self.request(Method::POST, &path), Vec::new());
+        let body = serde_json::json!({ "keep": keep });
+        let body = body.to_string().into_bytes();
+        let sending = self.send(self.request(Method::POST, &path), body);
         self.within(STATUS_LIMIT, sending).await.map(drop)
     }
 
@@ -245,7 +247,11 @@
     }
 
     fn cancel(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>> {
-        Box::pin(self.stop(request))
+        Box::pin(self.stop(request, false))
+    }
+
+    fn park(&self, request: ids::RequestId) -> future::BoxFuture<'_, Result<(), EndpointError>> {
+        Box::pin(self.stop(request, true))
     }
 }
 
--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -88,6 +88,7 @@
     pub generations: u64,
     pub resumes: u64,
     pub cancelled: u64,
+    pub parked: u64,
     pub largest_batch: u16,
     /// Request ids of the first generations, in order of start.
     pub started: Vec<String>,
@@ -257,7 +258,7 @@
         "/v1/unload_lora_adapter" => Ok(unload(&parts, &body, &state)),
         "/v1/completions" => stand_in_requests::generate(&parts, &body, &state, batch, false),
         "/v1/chat/completions" => stand_in_requests::generate(&parts, &body, &state, batch, true),
-        path => Ok(route_request(path, parts.uri.query(), &state)),
+        path => Ok(route_request(path, parts.uri.query(), &body, &state, batch)),
     }
 }
 
@@ -265,15 +266,17 @@
 fn route_request(
     path: &str,
     query: Option<&str>,
+    body: &[u8],
     state: &Arc<Mutex<EngineState>>,
+    batch: Arc<sync::Semaphore>,
 ) -> Response<ResponseBody> {
     let path = path.strip_prefix("/v1/requests/").unwrap_or_default();
     match path.split_once('/') {
         Some((id, "events")) => {
             let from = query.and_then(|query| query.strip_prefix("from=")?.parse().ok());
-            stand_in_requests::resume(state, id, from.unwrap_or(0))
+            stand_in_requests::resume(state, id, from.unwrap_or(0), batch)
         }
-        Some((id, "cancel")) => stand_in_requests::cancel(state, id),
+        Some((id, "cancel")) => stand_in_requests::cancel(state, id, body),
         _ => plain(StatusCode::NOT_FOUND, "unknown path"),
     }
 }
--- a/crates/endpoints/src/stand_in_requests.rs
+++ b/crates/endpoints/src/stand_in_requests.rs
@@ -43,6 +43,15 @@
 struct Progress {
     produced: u32,
     is_ended: bool,
+    is_parked: bool,
+    /// Increases with every pause; the producer of an earlier turn stops.
+    turn: u32,
+}
+
+#[derive(Default, Deserialize)]
+struct CancelBody {
+    #[serde(default)]
+    keep: bool,
 }
 
 #[derive(Deserialize)]
@@ -133,6 +142,7 @@
     state: &Arc<Mutex<EngineState>>,
     id: &str,
     from: u32,
+    batch: Arc<sync::Semaphore>,
 ) -> Response<ResponseBody> {
     let request = {
         let mut state = state.lock();
@@ -140,18 +150,34 @@
         state.find_request(id)
     };
     match request {
-        Some(request) => read_events(state, &request, from, false),
+        Some(request) => {
+            let events = read_events(state, &request, from, false);
+            let was_parked = request.progress.send_if_modified(|progress| {
+                std::mem::replace(&mut progress.is_parked, false) && !progress.is_ended
+            });
+            if was_parked {
+                tokio::spawn(produce(Arc::clone(state), request, batch));
+            }
+            events
+        }
         None => plain(StatusCode::NOT_FOUND, "unknown request"),
     }
 }
 
-/// Stops a generation.
-pub(crate) fn cancel(state: &Mutex<EngineState>, id: &str) -> Response<ResponseBody> {
+/// Stops a generation, or pauses it when the body asks to keep it.
+pub(crate) fn cancel(state: &Mutex<EngineState>, id: &str, body: &[u8]) -> Response<ResponseBody> {
+    let body: CancelBody = serde_json::from_slice(body).unwrap_or_default();
     let mut state = state.lock();
     let Some(request) = state.find_request(id) else {
         return plain(StatusCode::NOT_FOUND, "unknown request");
     };
-    if request.is_open() {
+    if request.is_open() && body.keep {
+        state.counts.parked += 1;
+        request.progress.send_modify(|progress| {
+            progress.is_parked = true;
+            progress.turn += 1;
+        });
+    } else if request.is_open() {
         state.counts.cancelled += 1;
         request.end();
     }
@@ -189,8 +215,11 @@
         state.epoch
     };
     let mut read = tokio::time::Instant::now();
-    let mut produced = 0;
-    while produced < request.max_tokens && request.is_open() {
+    let Progress {
+        mut produced, turn, ..
+    } = *request.progress.borrow();
+    let is_current = || request.progress.borrow().turn == turn;
+    while produced < request.max_tokens && request.is_open() && is_current() {
         let step = state.lock().step();
         tokio::time::sleep(step).await;
         if request.progress.receiver_count() > 0 {
@@ -198,12 +227,17 @@
         } else if read.elapsed() > READER_LIMIT {
             break;
         }
+        if !is_current() {
+            break;
+        }
         produced += 1;
         request
             .progress
             .send_modify(|progress| progress.produced = produced);
     }
-    request.end();
+    if is_current() {
+        request.end();
+    }
     let mut state = state.lock();
     if state.epoch == epoch {
         state.running -= 1;
--- /dev/null
+++ b/crates/endpoints/tests/parking.rs
@@ -0,0 +1,80 @@
+//! Pausing a generation of the stand-in engine over HTTP.
+
+use std::time;
+
+use decisions::{ids, units};
+use endpoints::{
+    client::{Generation, ModelEngine, TokenEvent, TokenStream},
+    http_engine::HttpEngine,
+    stand_in::{EngineOptions, StandInEngine, token_text},
+};
+use futures::StreamExt;
+
+/// Bound on the whole test, far above its duration, so that a lost token fails it.
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+/// Tokens of the long generation, which would hold its place for longer than [`LIMIT`].
+const LONG_TOKENS: u32 = 100_000;
+const SHORT_TOKENS: u32 = 20;
+
+fn generation(sequence: u64, tokens: u32) -> Generation {
+    Generation {
+        request: ids::RequestId {
+            entry: ids::Incarnation(1),
+            sequence,
+        },
+        path: "/v1/completions",
+        adapter: "notes@3".parse().unwrap(),
+        priority: units::Priority::Normal,
+        body: format!(r#"{{"max_tokens": {tokens}}}"#).into_bytes(),
+    }
+}
+
+async fn take(stream: &mut TokenStream, count: usize) -> String {
+    let mut texts = String::new();
+    for event in stream.take(count).collect::<Vec<_>>().await {
+        if let TokenEvent::Text { text, .. } = event.unwrap() {
+            texts.push_str(&text);
+        }
+    }
+    texts
+}
+
+// Guards against a parked generation that keeps its place in the batch, and against one that loses
+// or repeats tokens when it continues.
+#[tokio::test]
+async fn parked_generation_frees_its_place_and_continues() {
+    let options = EngineOptions {
+        batch_limit: 1,
+        ..EngineOptions::default()
+    };
+    let stand_in = StandInEngine::start(options).await.unwrap();
+    let engine = HttpEngine::new(stand_in.address());
+    let texts = |tokens: u32| -> String {
+        (0..tokens)
+            .map(|index| token_text("notes@3", "", index))
+            .collect()
+    };
+    let steps = async {
+        let adapter = "notes@3".parse().unwrap();
+        engine.load_adapter(&adapter, 1).await.unwrap();
+        let (long, short) = (generation(1, LONG_TOKENS), generation(2, SHORT_TOKENS));
+        let mut stream = engine.generate(long.clone()).await.unwrap();
+        let first = take(&mut stream, 3).await;
+        engine.park(long.request).await.unwrap();
+        drop(stream);
+        let mut stream = engine.generate(short).await.unwrap();
+        assert_eq!(take(&mut stream, usize::MAX).await, texts(SHORT_TOKENS));
+        let mut stream = engine.resume(&long, 3).await.unwrap();
+        assert_eq!(first + &take(&mut stream, 5).await, texts(8));
+        // Otherwise the long generation had ended before the short one got its place.
+        assert_eq!(engine.status().await.unwrap().running, 1);
+    };
+    tokio::time::timeout(LIMIT, steps)
+        .await
+        .expect("a place is never freed");
+    let counts = stand_in.counts();
+    assert_eq!(
+        (counts.generations, counts.parked, counts.largest_batch),
+        (2, 1, 1)
+    );
+}
