--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod http_engine;
 pub mod service;
 pub mod stand_in;
+mod stand_in_adapters;
 mod stand_in_requests;
 pub mod stand_in_service;
--- a/crates/endpoints/src/stand_in.rs
+++ b/crates/endpoints/src/stand_in.rs
@@ -12,7 +12,6 @@
 use hyper_util::{rt, server::conn::auto};
 use parking_lot::Mutex;
 use platform::weights::WeightStore;
-use serde::Deserialize;
 use tokio::{
     net::TcpListener,
     sync::{self, watch},
@@ -21,7 +20,7 @@
 
 pub use crate::stand_in_requests::token_text;
 use crate::{
-    client, http_engine,
+    client, stand_in_adapters,
     stand_in_requests::{self, plain},
 };
 
@@ -95,15 +94,15 @@
 }
 
 pub(crate) struct EngineState {
-    options: EngineOptions,
-    store: Option<Arc<dyn WeightStore>>,
+    pub(crate) options: EngineOptions,
+    pub(crate) store: Option<Arc<dyn WeightStore>>,
     pub(crate) faults: EngineFaults,
     pub(crate) epoch: u64,
     pub(crate) restarts: watch::Sender<u64>,
     pub(crate) adapters: Vec<String>,
     pub(crate) requests: Vec<stand_in_requests::EngineRequest>,
     pub(crate) running: u16,
-    fencing: u64,
+    pub(crate) fencing: u64,
     pub(crate) counts: EngineCounts,
     statuses: VecDeque<ReadStatus>,
 }
@@ -254,8 +253,8 @@
     let body = body.to_bytes();
     match parts.uri.path() {
         "/v1/status" => Ok(report(&state)),
-        "/v1/load_lora_adapter" => load(&parts, &body, &state).await,
-        "/v1/unload_lora_adapter" => Ok(unload(&parts, &body, &state)),
+        "/v1/load_lora_adapter" => stand_in_adapters::load(&parts, &body, &state).await,
+        "/v1/unload_lora_adapter" => Ok(stand_in_adapters::unload(&parts, &body, &state)),
         "/v1/completions" => stand_in_requests::generate(&parts, &body, &state, batch, false),
         "/v1/chat/completions" => stand_in_requests::generate(&parts, &body, &state, batch, true),
         path => Ok(route_request(path, parts.uri.query(), &body, &state, batch)),
@@ -312,95 +311,3 @@
     let body = serde_json::to_string(&first).unwrap_or_default();
     plain(StatusCode::OK, &body)
 }
-
-#[derive(Deserialize)]
-struct AdapterCommand {
-    lora_name: String,
-}
-
-/// Checks the fencing number of a command and reads its adapter name.
-fn read_command(
-    parts: &http::request::Parts,
-    body: &[u8],
-    state: &Mutex<EngineState>,
-) -> Result<String, Box<Response<ResponseBody>>> {
-    let fencing = parts
-        .headers
-        .get(http_engine::FENCING_HEADER)
-        .and_then(|value| value.to_str().ok()?.parse().ok())
-        .unwrap_or(0);
-    let command: AdapterCommand = serde_json::from_slice(body)
-        .map_err(|error| Box::new(plain(StatusCode::BAD_REQUEST, &error.to_string())))?;
-    let mut state = state.lock();
-    if state.options.checks_fencing && fencing < state.fencing {
-        let mut response = plain(StatusCode::PRECONDITION_FAILED, "old fencing number");
-        let current = http::HeaderValue::from(state.fencing);
-        response
-            .headers_mut()
-            .insert(http_engine::FENCING_HEADER, current);
-        return Err(Box::new(response));
-    }
-    state.fencing = state.fencing.max(fencing);
-    Ok(command.lora_name)
-}
-
-async fn load(parts: &http::request::Parts, body: &[u8], state: &Mutex<EngineState>) -> Reply {
-    let name = match read_command(parts, body, state) {
-        Ok(name) => name,
-        Err(response) => return Ok(*response),
-    };
-    let (faults, duration, store, epoch) = {
-        let state = state.lock();
-        let load = state.options.load;
-        (state.faults.clone(), load, state.store.clone(), state.epoch)
-    };
-    if faults.refuse_loads {
-        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "no loads now"));
-    }
-    match store {
-        Some(store) => {
-            if let Err(error) = store.load(&name).await {
-                return Ok(plain(StatusCode::BAD_GATEWAY, &error.to_string()));
-            }
-        }
-        None => tokio::time::sleep(duration).await,
-    }
-    let mut state = state.lock();
-    if faults.fail_loads || state.epoch != epoch {
-        return Ok(plain(StatusCode::INTERNAL_SERVER_ERROR, "the load failed"));
-    }
-    state.counts.loads += 1;
-    let Err(position) = state.adapters.binary_search(&name) else {
-        return Ok(plain(StatusCode::OK, "loaded before"));
-    };
-    if state.adapters.len() >= state.options.adapter_slots {
-        return Ok(plain(StatusCode::CONFLICT, "no free adapter slot"));
-    }
-    state.adapters.insert(position, name);
-    if state.lose_reply() {
-        return Err(io::Error::other("the reply is lost"));
-    }
-    Ok(plain(StatusCode::OK, "loaded"))
-}
-
-fn unload(
-    parts: &http::request::Parts,
-    body: &[u8],
-    state: &Mutex<EngineState>,
-) -> Response<ResponseBody> {
-    let name = match read_command(parts, body, state) {
-        Ok(name) => name,
-        Err(response) => return *response,
-    };
-    let mut state = state.lock();
-    let Ok(position) = state.adapters.binary_search(&name) else {
-        return plain(StatusCode::NOT_FOUND, "not loaded");
-    };
-    state.adapters.remove(position);
-    state.counts.unloads += 1;
-    let mut requests = state.requests.iter();
-    if requests.any(|request| request.is_open() && request.model == name) {
-        state.counts.unloads_in_use += 1;
-    }
-    plain(StatusCode::OK, "unloaded")
-}
