--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -390,3 +390,46 @@
     });
     assert_eq!(summary.cut_off, 1);
 }
+
+// Guards against entries with the same key that take the answer from each other, and against one
+// that no longer polls and holds the answer back.
+#[test_case(true; "both poll")]
+#[test_case(false; "one is silent")]
+#[tokio::test(start_paused = true)]
+async fn two_sessions_read_a_kept_answer(polls: bool) {
+    let agent = TestAgent::start(2, KEPT).await;
+    let (one, other) = (agent.hello().await, agent.hello().await);
+    let mut kept = agent.work(one, 1, "a@1");
+    kept.keep_answer = true;
+    agent.dispatch(kept).await;
+    let incarnation = agent.state.incarnation;
+    let reply = agent.handler.attach(other, incarnation, request(1)).await;
+    assert_eq!(reply, CancelReply::Running);
+    let first = async {
+        if polls {
+            assert!(is_whole(&agent.read(one, 1).await));
+        }
+    };
+    let (parts, ()) = tokio::join!(agent.read(other, 1), first);
+    assert!(is_whole(&parts), "{parts:?}");
+    assert_eq!(agent.engine.state.lock().starts.len(), 1);
+}
+
+// Guards against long requests that keep short ones waiting, against a parked answer that loses or
+// repeats tokens, and against the eviction of its adapter.
+#[tokio::test(start_paused = true)]
+async fn long_requests_are_parked_and_stay_whole() {
+    let agent = TestAgent::start(1, KEPT).await;
+    agent.engine.state.lock().event_tokens = 1000;
+    let session = agent.hello().await;
+    for sequence in 1..=12 {
+        agent.dispatch(agent.work(session, sequence, "a@1")).await;
+    }
+    agent.dispatch(agent.work(session, 13, "b@1")).await;
+    let answers = read_all(&agent, session, 13).await;
+    assert!(answers.iter().all(|parts| is_whole(parts)), "{answers:?}");
+    let engine = agent.engine.state.lock();
+    assert!(!engine.parks.is_empty());
+    assert_eq!(engine.parks.len(), engine.resumes.len());
+    assert_eq!((engine.starts.len(), engine.unloads_in_use), (13, 0));
+}
--- a/crates/agent/tests/loopback.rs
+++ b/crates/agent/tests/loopback.rs
@@ -108,12 +108,13 @@
                     request: request(sequence),
                     received: next,
                     consumed: next,
+                    is_closed: false,
                 }],
                 wait: message::POLL_WAIT,
                 held_report: 0,
                 report_interval: std::time::Duration::ZERO,
                 configuration_version: 0,
-                demand: 0,
+                demand: message::PeerDemand::default(),
             };
             let is_ended = matches!(
                 parts.last(),
--- a/crates/capacity/src/sessions.rs
+++ b/crates/capacity/src/sessions.rs
@@ -290,7 +290,7 @@
             held_report: 0,
             report_interval: time::Duration::ZERO,
             configuration_version: 1,
-            demand: 0,
+            demand: message::PeerDemand::default(),
         };
         let reply = self.client.poll(service::deadline(CALL_LIMIT), poll).await;
         let Ok(message::PollReply::Events { events, .. }) = reply else {
@@ -300,6 +300,7 @@
             request: event.request,
             received: event.index + 1,
             consumed: event.index + 1,
+            is_closed: false,
         });
         Some(acks.collect())
     }
--- a/crates/entry/src/sessions.rs
+++ b/crates/entry/src/sessions.rs
@@ -41,6 +41,8 @@
     fn configuration_version(&self) -> u64;
     /// Shortest time between two load reports of one agent.
     fn report_interval(&self) -> time::Duration;
+    /// Load demand of all agents but this one, for the poll.
+    fn demand(&self, agent: ids::Incarnation) -> message::PeerDemand;
 }
 
 /// Channel to one agent.
@@ -229,7 +231,7 @@
             held_report: self.report.lock().sequence,
             report_interval: observer.report_interval(),
             configuration_version: observer.configuration_version(),
-            demand: 0,
+            demand: observer.demand(connection.agent),
         };
         let call = connection.client.poll(service::deadline(POLL_LIMIT), poll);
         match call.await {
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -135,6 +135,8 @@
     pub received: u64,
     /// Next part that the caller has not taken; opens the stream's window.
     pub consumed: u64,
+    /// Whether the caller is gone, so that the stream no longer waits for it.
+    pub is_closed: bool,
 }
 
 /// Heartbeat of an entry that asks for the output of its streams.
@@ -148,8 +150,19 @@
     /// Shortest time between two load reports that the entry asks for.
     pub report_interval: time::Duration,
     pub configuration_version: u64,
-    /// Load demand in the rest of the region, in adapters waiting.
-    pub demand: u32,
+    /// Load demand of the other agents, as this entry knows it.
+    pub demand: PeerDemand,
+}
+
+/// Loads that wait at other agents, as known to one entry.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PeerDemand {
+    /// Adapters that wait for a load at all other agents.
+    pub waiting: u32,
+    /// Agents that the entry knows, the polled one included.
+    pub agents: u32,
+    /// Age of the oldest report in `waiting`.
+    pub age: time::Duration,
 }
 
 /// Answer to [`Poll`].
