Test the whole path with separate processes

Cause: the existing tests run entry and agent inside one process, so nothing covers the binary's settings files, signals and exit codes. Change: a support module starts the real binary as child processes against stand-ins in the test process; two tests cover the path, publish, status and check.

--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,75 @@
+//! Whole path as separate processes, and the operator's commands.
+
+#[allow(dead_code)]
+mod support;
+
+use support::{bounded, caller, cluster, cluster::Cluster, process};
+
+// Guards against parts that work inside one process but not as separate ones, and against a status
+// or exit code that tells an operator something else than happened.
+#[tokio::test(flavor = "multi_thread")]
+async fn published_adapter_answers_through_separate_processes() {
+    bounded(async {
+        let cluster = Cluster::start().await;
+        let engine = cluster::engine(5).await;
+        let agent = cluster.agent(process::free_address(), &[engine.address()]);
+        let entry = cluster.entry(&[agent.address]);
+        cluster.configure().await;
+        cluster::wait_ready(entry.address, 1).await;
+        cluster::wait_version(entry.address, 1).await;
+        let answer = caller::complete(entry.address, "notes", "hello", 20).await;
+        assert!(answer.is_whole("notes@1", "hello", 20), "{answer:?}");
+        let answer = caller::order(entry.address, "order-1", 10_000).await;
+        assert_eq!(answer.body, support::service::stored("order-1"));
+        let answer = caller::complete(entry.address, "other", "hello", 20).await;
+        assert_eq!(answer.outcome().as_deref(), Some("not_run"), "{answer:?}");
+        assert_eq!(engine.counts().generations, 1);
+        let entry_address = entry.address.to_string();
+        let output = process::run(&["status", "--entry", &entry_address]).await;
+        assert_eq!(output.code, Some(0), "{output:?}");
+        let status: serde_json::Value = serde_json::from_str(&output.stdout).unwrap();
+        assert_eq!(status["configuration_version"], 1);
+        let free = process::free_address().to_string();
+        let output = process::run(&["status", "--entry", &free]).await;
+        assert_eq!(output.code, Some(1), "{output:?}");
+        assert!(output.stderr.contains(&free), "{output:?}");
+    })
+    .await;
+}
+
+// Guards against a stale or broken patch that a script takes for an accepted one.
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_and_check_tell_outcomes_by_exit_code() {
+    bounded(async {
+        let cluster = Cluster::start().await;
+        cluster.configure().await;
+        let stale = cluster.publish(0, cluster::SECOND_PATCH).await;
+        assert_eq!(stale.code, Some(3), "{stale:?}");
+        assert!(stale.stdout.contains("current version is 1"), "{stale:?}");
+        let unfit = "changes: [{remove_adapter: {name: absent}}]";
+        let unfit = cluster.publish(1, unfit).await;
+        assert_eq!(unfit.code, Some(2), "{unfit:?}");
+        let directory = cluster.directory.path();
+        let cases = [
+            (cluster::FIRST_PATCH, 0),
+            ("changes: [{remove_adaptor: {name: notes}}]", 2),
+            ("listen: 127.0.0.1:7001\nreplicas: []", 2),
+        ];
+        for (text, code) in cases {
+            let path = process::write(directory, "checked.yaml", text);
+            let output = process::run(&["check", &path]).await;
+            assert_eq!(output.code, Some(code), "{output:?}");
+        }
+        let output = process::run(&["check", "absent.yaml"]).await;
+        assert_eq!(output.code, Some(1), "{output:?}");
+        cluster.log.set_down(std::time::Duration::from_mins(1));
+        let path = process::write(directory, "second.yaml", cluster::SECOND_PATCH);
+        let log = cluster.platform().to_string();
+        let arguments = [
+            "publish", "--base", "1", "--wait", "1", "--log", &log, &path,
+        ];
+        let down = process::run(&arguments).await;
+        assert_eq!(down.code, Some(1), "{down:?}");
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,127 @@
+//! Child processes that run the binary, killed when they are dropped.
+
+use std::{
+    fs, net,
+    path::{Path, PathBuf},
+    process::{self, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Ports from which listen ports are taken. They lie below the range from which Linux takes the
+/// ports of outgoing connections, so that no connection occupies a port before its process binds it.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u16 = 18_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Running entry or agent.
+pub struct Process {
+    child: process::Child,
+    log: PathBuf,
+}
+
+/// Result of a command that has ended.
+#[derive(Debug)]
+pub struct CommandOutput {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Process {
+    /// Starts a role with settings, which are written to `directory`.
+    pub fn start(role: &str, name: &str, settings: &serde_json::Value, directory: &Path) -> Self {
+        let path = write(directory, &format!("{name}.yaml"), &settings.to_string());
+        let log = directory.join(format!("{name}.log"));
+        let mut options = fs::OpenOptions::new();
+        let file = options.create(true).append(true).open(&log).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_cowslipdeal"))
+            .args([role, "--settings"])
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Self { child, log }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let mut status = None;
+        super::until("the process ends", || {
+            status = self.child.try_wait().unwrap();
+            let is_ended = status.is_some();
+            async move { is_ended }
+        })
+        .await;
+        status.and_then(|status| status.code())
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("{}:\n{log}", self.log.display());
+        }
+    }
+}
+
+/// Runs a command of the binary to its end.
+pub async fn run(arguments: &[&str]) -> CommandOutput {
+    let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+    let output = tokio::task::spawn_blocking(move || {
+        process::Command::new(env!("CARGO_BIN_EXE_cowslipdeal"))
+            .args(arguments)
+            .output()
+            .unwrap()
+    });
+    let output = output.await.unwrap();
+    CommandOutput {
+        code: output.status.code(),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+/// Writes a file and returns its path.
+pub fn write(directory: &Path, name: &str, text: &str) -> String {
+    let path = directory.join(name);
+    fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+/// Loopback address with a free port.
+pub fn free_address() -> net::SocketAddr {
+    // Test processes that run at the same time start at different ports.
+    let first = u16::try_from(process::id() * 97 % u32::from(PORT_COUNT)).unwrap();
+    for _ in 0..PORT_COUNT {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let port = FIRST_PORT + (first + next) % PORT_COUNT;
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        if net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
+}
