--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -123,11 +123,13 @@
                 agent_protocol: message::PROTOCOL_VERSION,
             };
         }
-        if self.is_leaving() {
+        let context = &self.context;
+        let sessions = context.requests.sessions();
+        // An entry that lost its connection reads its open streams on a new one.
+        if self.is_leaving() && !sessions.has_entry(hello.entry) {
             return message::HelloReply::Leaving;
         }
-        let context = &self.context;
-        let session = context.requests.sessions().open(context.clock.now());
+        let session = sessions.open(hello.entry, context.clock.now());
         telemetry::logs::info(
             &context.logger,
             telemetry::events::SESSION_OPENED,
--- a/crates/agent/src/sessions.rs
+++ b/crates/agent/src/sessions.rs
@@ -15,6 +15,7 @@
 /// Session of one entry.
 pub struct AgentSession {
     id: ids::SessionId,
+    entry: ids::Incarnation,
     state: Mutex<SessionState>,
     /// Held while a poll records its acks or collects parts.
     polls: Mutex<u64>,
@@ -39,7 +40,7 @@
 }
 
 impl AgentSession {
-    fn new(id: ids::SessionId, now: units::Timestamp) -> Self {
+    fn new(id: ids::SessionId, entry: ids::Incarnation, now: units::Timestamp) -> Self {
         let state = SessionState {
             last_poll: now,
             is_closed: false,
@@ -51,6 +52,7 @@
         };
         Self {
             id,
+            entry,
             state: Mutex::new(state),
             polls: Mutex::new(0),
             wake: sync::Notify::new(),
@@ -175,10 +177,11 @@
 }
 
 impl SessionRegistry {
-    /// Opens a session.
+    /// Opens a session of an entry.
     #[must_use]
-    pub fn open(&self, now: units::Timestamp) -> Arc<AgentSession> {
-        let session = Arc::new(AgentSession::new(ids::SessionId(rand::random()), now));
+    pub fn open(&self, entry: ids::Incarnation, now: units::Timestamp) -> Arc<AgentSession> {
+        let id = ids::SessionId(rand::random());
+        let session = Arc::new(AgentSession::new(id, entry, now));
         let mut sessions = self.shard(session.id).lock();
         let position = sessions.partition_point(|other| other.id < session.id);
         sessions.insert(position, Arc::clone(&session));
@@ -206,6 +209,14 @@
         closed
     }
 
+    /// Whether an entry has a session, suspended or not.
+    #[must_use]
+    pub fn has_entry(&self, entry: ids::Incarnation) -> bool {
+        let mut shards = self.shards.iter();
+        let is_own = |session: &Arc<AgentSession>| session.entry == entry;
+        shards.any(|shard| shard.lock().iter().any(is_own))
+    }
+
     /// All sessions.
     #[must_use]
     pub fn all(&self) -> Vec<Arc<AgentSession>> {
