--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -167,9 +167,6 @@
     }
 
     async fn take_image(&mut self) {
-        if self.reader.replay().is_following() {
-            return;
-        }
         let version = self.reader.replay().version();
         let Some(image) = self.images.image(version).await else {
             return;
