End the streams of an agent that does not come back

Cause: the channel of a listed agent kept the streams of a killed agent until another incarnation answered; without one the caller waited without end. Change: after the session limit without a connection the streams end as lost, since the agent has closed the session by then. Conclusion: the outcome is unknown within the session limit.

--- a/crates/entry/src/sessions.rs
+++ b/crates/entry/src/sessions.rs
@@ -106,6 +106,7 @@
     /// Keeps the channel connected until the task is dropped.
     pub async fn run(self: Arc<Self>, observer: Arc<dyn ChannelObserver>) {
         let mut previous: Option<Connection> = None;
+        let mut connected = tokio::time::Instant::now();
         let mut delay = FIRST_DELAY;
         let mut is_mismatch_logged = false;
         loop {
@@ -120,6 +121,7 @@
                     let end = self.poll_loop(&connection, observer.as_ref()).await;
                     *self.state.lock() = None;
                     observer.disconnected(self.address);
+                    connected = tokio::time::Instant::now();
                     if let PollEnd::SessionClosed = end {
                         // The agent has cancelled the streams with the session.
                         previous = None;
@@ -140,6 +142,11 @@
                     delay = (delay * 2).min(LAST_DELAY);
                 }
             }
+            // By now the agent has closed the session, or it is gone.
+            if self.connection().is_none() && connected.elapsed() >= message::SESSION_LIMIT {
+                previous = None;
+                self.streams.fail_all(&agent_lost());
+            }
             tokio::time::sleep(delay).await;
         }
     }
