--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -312,3 +312,17 @@
     })
     .await;
 }
+
+// Guards against a caller that waits without end for an agent that was killed and never comes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_of_an_agent_that_never_returns_is_unknown() {
+    bounded(async {
+        let mut path = OrderPath::start().await;
+        let first = path.begin(Moment::Running, LONG).await;
+        path.agent.process.kill();
+        let first = first.await.unwrap();
+        assert_eq!(first.outcome().as_deref(), Some("unknown"), "{first:?}");
+        assert_eq!(path.calls(), 1);
+    })
+    .await;
+}
