--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -75,9 +75,9 @@
     /// Publishes a patch with the `publish` command.
     pub async fn publish(&self, base: u64, patch: &str) -> process::CommandOutput {
         let name = format!("{}.yaml", uuid::Uuid::new_v4());
-        let path = process::write(self.directory.path(), &name, patch);
+        let file = process::write(self.directory.path(), &name, patch);
         let (base, log) = (base.to_string(), self.platform().to_string());
-        process::run(&["publish", "--base", &base, "--log", &log, &path]).await
+        process::run(&["publish", "--base", &base, "--log", &log, &file]).await
     }
 
     /// Publishes the first configuration.
