Test late dispatches, and make the leaving test sensitive

Cause: with the agent's report of leaving and its refusal both removed the leaving test still passed, since the entry preferred the other agent; and no process-level test failed without tombstones. Change: both agents hold adapters that are asked for while one leaves; a relay holds a dispatch back until its caller was told not_run, and then delivers it.

--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -10,6 +10,7 @@
     bounded, caller,
     cluster::{self, Cluster, Node},
     pause, process,
+    relay::{LinkFault, Relay},
     service::stored,
     until,
 };
@@ -327,3 +328,31 @@
     })
     .await;
 }
+
+// Guards against a dispatch that reaches the agent after its caller was told `not_run` (I4).
+#[test_case(true; "with a key")]
+#[test_case(false; "without a key")]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_dispatch_of_a_request_told_not_run_is_refused(has_key: bool) {
+    bounded(async {
+        let path = OrderPath::start().await;
+        let relay = Relay::start(path.agent.address).await;
+        let entry = path.cluster.entry(&[relay.address()]);
+        cluster::wait_ready(entry.address, 1).await;
+        cluster::wait_version(entry.address, 1).await;
+        assert!(relay.fail(LinkFault::Held) > 0);
+        let key = if has_key {
+            "idempotency-key: k\r\n"
+        } else {
+            ""
+        };
+        let headers = format!("{key}x-deadline-ms: 1000\r\n");
+        let path_name = "/services/orders/new";
+        let answer = caller::send(entry.address, "POST", path_name, &headers, KEY).await;
+        assert_eq!(answer.outcome().as_deref(), Some("not_run"), "{answer:?}");
+        relay.release();
+        pause(LATE_EFFECT).await;
+        assert_eq!(path.calls(), 0);
+    })
+    .await;
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -102,6 +102,15 @@
     .await;
 }
 
+/// Adapters that are asked for while an agent leaves.
+const MODELS: usize = 4;
+
+fn models() -> Vec<String> {
+    (0..MODELS)
+        .map(|index| format!("short-{index}@1"))
+        .collect()
+}
+
 /// Two agents with one engine each, and an entry that finds them in the instance list.
 struct ListedPath {
     cluster: Cluster,
@@ -143,12 +152,20 @@
 async fn leaving_agent_gets_no_new_work(is_list_down: bool) {
     bounded(async {
         let mut path = ListedPath::start().await;
+        // Both agents hold some of the adapters, so that work would go to either.
+        for model in models() {
+            let answer = caller::complete(path.entry.address, &model, "short", 1).await;
+            assert!(answer.is_whole(&model, "short", 1), "{answer:?}");
+        }
+        let first = [path.generations(0), path.generations(1)];
+        assert!(first[0] > 0 && first[1] > 0, "{first:?}");
         let calls = start_streams(path.entry.address);
         until("all streams run", || async {
-            path.generations(0) + path.generations(1) == STREAMS as u64
+            path.generations(0) + path.generations(1) == first[0] + first[1] + STREAMS as u64
         })
         .await;
-        let leaving = usize::from(path.generations(1) > path.generations(0));
+        let streams = [0, 1].map(|index| path.generations(index) - first[index]);
+        let leaving = usize::from(streams[1] > streams[0]);
         path.agents[leaving].process.signal(Signal::TERM);
         if is_list_down {
             let outage = std::time::Duration::from_mins(1);
@@ -166,18 +183,16 @@
             .await;
             entries.push(late.address);
         }
-        for index in 0..20 {
-            // A popular adapter and new ones, which have no copy yet.
-            let model = if index % 2 == 0 { "notes@1" } else { "other@1" };
+        for model in models() {
             for entry in &entries {
-                let answer = caller::complete(*entry, model, "short", 1).await;
-                assert!(answer.is_whole(model, "short", 1), "{answer:?}");
+                let answer = caller::complete(*entry, &model, "short", 1).await;
+                assert!(answer.is_whole(&model, "short", 1), "{answer:?}");
             }
         }
         let is_open = calls.iter().any(|call| !call.is_finished());
         assert!(is_open, "no stream was open while work was refused");
         assert_eq!(path.generations(leaving), before[leaving]);
-        assert!(path.generations(1 - leaving) >= before[1 - leaving] + 20);
+        assert!(path.generations(1 - leaving) >= before[1 - leaving] + MODELS as u64);
         assert_whole(calls).await;
         assert_eq!(path.agents[leaving].process.exit_code().await, Some(0));
     })
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -16,6 +16,8 @@
     Cut,
     /// They stay open and forward nothing any more.
     Silent,
+    /// They forward nothing until [`Relay::release`], and then all that was sent meanwhile.
+    Held,
 }
 
 /// Running relay to one address.
@@ -55,6 +57,13 @@
     }
 }
 
+impl Relay {
+    /// Lets the held connections forward again.
+    pub fn release(&self) {
+        self.faults.send_replace(None);
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.task.abort();
@@ -95,14 +104,21 @@
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let (length, is_broken) = tokio::select! {
-            read = from.read(&mut buffer) => (read.unwrap_or(0), false),
-            _ = faults.changed() => (0, true),
+        let length = tokio::select! {
+            read = from.read(&mut buffer) => read.unwrap_or(0),
+            _ = faults.changed() => {
+                let fault = *faults.borrow();
+                match fault {
+                    None => {}
+                    Some(LinkFault::Cut) => return,
+                    Some(LinkFault::Silent) => std::future::pending().await,
+                    Some(LinkFault::Held) => {
+                        let _ = faults.wait_for(Option::is_none).await;
+                    }
+                }
+                continue;
+            }
         };
-        let is_silent = *faults.borrow() == Some(LinkFault::Silent);
-        if is_broken && is_silent {
-            std::future::pending::<()>().await;
-        }
         if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
