Count at most one call when two entries race without a failed process

Cases with a failed process still assert one call. Conclusion: the fault stays open in KNOWN-RED.txt.

--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -197,9 +197,10 @@
         }
         let first = first.await.unwrap();
         pause(LATE_EFFECT).await;
-        assert_eq!(path.calls(), 1);
+        assert!(path.calls() <= 1);
         // `both_callers_of_a_key_get_its_answer` has the cases without a failed process.
         if fault.is_some() {
+            assert_eq!(path.calls(), 1);
             assert!(is_true(&first, path.calls()), "{first:?}");
         }
     })
