--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -67,8 +67,9 @@
         &self,
         agent: ids::Incarnation,
         request: ids::RequestId,
+        scope: message::CancelScope,
     ) -> BoxFuture<'_, message::CancelReply> {
-        let reply = self.0.cancel(agent, request);
+        let reply = self.0.cancel(agent, request, scope);
         async move { reply }.boxed()
     }
 
@@ -121,11 +122,13 @@
                 agent_protocol: message::PROTOCOL_VERSION,
             };
         }
-        if self.is_leaving() {
+        let context = &self.context;
+        let sessions = context.requests.sessions();
+        // An entry that lost its connection reads its open streams on a new one.
+        if self.is_leaving() && !sessions.has_entry(hello.entry) {
             return message::HelloReply::Leaving;
         }
-        let context = &self.context;
-        let session = context.requests.sessions().open(context.clock.now());
+        let session = sessions.open(hello.entry, context.clock.now());
         telemetry::logs::info(
             &context.logger,
             telemetry::events::SESSION_OPENED,
@@ -343,11 +346,19 @@
         self.context.requests.attach(&session, request)
     }
 
-    fn cancel(&self, agent: ids::Incarnation, request: ids::RequestId) -> message::CancelReply {
+    fn cancel(
+        &self,
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+        scope: message::CancelScope,
+    ) -> message::CancelReply {
         if agent != self.incarnation {
             return message::CancelReply::WrongIncarnation;
         }
-        let reply = self.context.requests.cancel(request);
+        let reply = match scope {
+            message::CancelScope::Own => self.context.requests.cancel(request),
+            message::CancelScope::Unseen => self.context.requests.leave_tombstone(request),
+        };
         if reply == message::CancelReply::NotRun {
             for replica in &self.replicas {
                 replica.remove(request);
--- a/crates/agent/src/requests.rs
+++ b/crates/agent/src/requests.rs
@@ -191,11 +191,14 @@
         if let Some(stream) = stream {
             stream.cancel();
         }
-        match outcome {
-            CancelOutcome::NotRun => message::CancelReply::NotRun,
-            CancelOutcome::Running => message::CancelReply::Running,
-            CancelOutcome::Finished | CancelOutcome::Failed => message::CancelReply::Finished,
-        }
+        cancel_reply(outcome)
+    }
+
+    /// Leaves a tombstone if the request was not seen; otherwise it is not touched.
+    pub fn leave_tombstone(&self, request: ids::RequestId) -> message::CancelReply {
+        let now = self.clock.now();
+        let mut shard = self.shard(request).lock();
+        cancel_reply(shard.table.leave_tombstone(request, now))
     }
 
     /// Closes silent sessions and drops what is no longer needed. Returns the number closed.
@@ -309,3 +312,11 @@
     matches!(last, message::StreamPart::Failed(failure)
         if failure.outcome == message::RunOutcome::NotRun)
 }
+
+fn cancel_reply(outcome: CancelOutcome) -> message::CancelReply {
+    match outcome {
+        CancelOutcome::NotRun => message::CancelReply::NotRun,
+        CancelOutcome::Running => message::CancelReply::Running,
+        CancelOutcome::Finished | CancelOutcome::Failed => message::CancelReply::Finished,
+    }
+}
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -7,7 +7,7 @@
 use agent::assembly;
 use operators::{patch, snapshot};
 use peers::{
-    message::{CancelReply, DispatchReply, PollReply, RefusalReason, RunOutcome},
+    message::{CancelReply, CancelScope, DispatchReply, PollReply, RefusalReason, RunOutcome},
     report_update::ReportUpdate,
     service::AgentHandler,
 };
@@ -88,7 +88,8 @@
         agent.dispatch(agent.work(session, 1, "a@1")).await;
     }
     let incarnation = agent.state.incarnation;
-    let reply = agent.handler.cancel(incarnation, request(1)).await;
+    let scope = CancelScope::Own;
+    let reply = agent.handler.cancel(incarnation, request(1), scope).await;
     assert_eq!(reply, CancelReply::NotRun);
     if is_dispatched {
         let parts = agent.read(session, 1).await;
@@ -100,6 +101,24 @@
     assert!(agent.engine.state.lock().starts.is_empty());
 }
 
+// Guards against an entry that stops the request of another entry's claim, whose caller already
+// reads the answer, because it was accepted between `attach` and the cancel.
+#[tokio::test(start_paused = true)]
+async fn tombstone_for_another_claim_does_not_stop_an_accepted_request() {
+    let agent = TestAgent::start(2, KEPT).await;
+    let session = agent.hello().await;
+    agent.dispatch(agent.work(session, 1, "a@1")).await;
+    let incarnation = agent.state.incarnation;
+    let scope = CancelScope::Unseen;
+    let reply = agent.handler.cancel(incarnation, request(1), scope).await;
+    assert_eq!(reply, CancelReply::Running);
+    assert!(is_whole(&agent.read(session, 1).await));
+    let reply = agent.handler.cancel(incarnation, request(2), scope).await;
+    assert_eq!(reply, CancelReply::NotRun);
+    let reply = agent.dispatch(agent.work(session, 2, "a@1")).await;
+    assert_eq!(refusal(&reply), Some(RefusalReason::Cancelled));
+}
+
 // Guards against a waiting request that starts after its session was closed, which its entry may
 // have answered with `not_run`.
 #[tokio::test(start_paused = true)]
--- a/crates/capacity/src/stand_in.rs
+++ b/crates/capacity/src/stand_in.rs
@@ -188,6 +188,7 @@
         &self,
         _: ids::Incarnation,
         _: ids::RequestId,
+        _: message::CancelScope,
     ) -> BoxFuture<'_, message::CancelReply> {
         async { message::CancelReply::NotRun }.boxed()
     }
--- a/crates/decisions/src/request_table.rs
+++ b/crates/decisions/src/request_table.rs
@@ -134,6 +134,21 @@
         }
     }
 
+    /// Leaves a tombstone for a request that was not seen; a known one is not touched.
+    pub fn leave_tombstone(
+        &mut self,
+        request: ids::RequestId,
+        now: units::Timestamp,
+    ) -> CancelOutcome {
+        match self.state(request) {
+            None => self.cancel(request, now),
+            Some(RequestState::CancelledBeforeStart) => CancelOutcome::NotRun,
+            Some(RequestState::Queued | RequestState::Running) => CancelOutcome::Running,
+            Some(RequestState::Finished) => CancelOutcome::Finished,
+            Some(RequestState::Failed) => CancelOutcome::Failed,
+        }
+    }
+
     /// Whether a running request was cancelled and should be stopped at the engine.
     #[must_use]
     pub fn is_stopping(&self, request: ids::RequestId) -> bool {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -138,7 +138,10 @@
     match attach.await.ok()? {
         message::CancelReply::NotRun => {
             let call = service::deadline(CALL_LIMIT);
-            let cancel = connection.client.cancel(call, agent, target.request);
+            let cancel =
+                connection
+                    .client
+                    .cancel(call, agent, target.request, message::CancelScope::Own);
             cancel.await.ok()
         }
         reply => Some(reply),
@@ -262,7 +265,10 @@
             if let Some(connection) = connection_to(&target) {
                 let call = service::deadline(CALL_LIMIT);
                 let agent = target.endpoint.agent;
-                let _ = connection.client.cancel(call, agent, target.request).await;
+                let _ = connection
+                    .client
+                    .cancel(call, agent, target.request, message::CancelScope::Own)
+                    .await;
             }
         });
     }
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -319,10 +319,18 @@
         tokio::time::sleep(WAIT_INTERVAL).await;
         return Ok(ClaimEvent::AgentUnreachable);
     };
+    let is_own = targets
+        .iter()
+        .any(|target| target.request == claimed.request);
+    let scope = if is_own {
+        message::CancelScope::Own
+    } else {
+        message::CancelScope::Unseen
+    };
     let call = service::deadline(CALL_LIMIT);
     let reply = connection
         .client
-        .cancel(call, claimed.agent, claimed.request);
+        .cancel(call, claimed.agent, claimed.request, scope);
     Ok(match reply.await {
         Ok(message::CancelReply::NotRun) => {
             let target = (run.next)()?;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -323,6 +323,7 @@
         &self,
         agent: ids::Incarnation,
         request: ids::RequestId,
+        _: message::CancelScope,
     ) -> BoxFuture<'_, message::CancelReply> {
         self.cancels.fetch_add(1, atomic::Ordering::SeqCst);
         let is_known = self.is_known(request);
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -8,7 +8,7 @@
 use crate::report_update;
 
 /// Version of the messages; peers of different versions refuse each other.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 /// Longest time an agent holds a poll that has nothing to report.
 pub const POLL_WAIT: time::Duration = time::Duration::from_millis(500);
 /// Silence after which a connection is replaced and a session is suspended. A suspended session
@@ -237,6 +237,16 @@
     WrongAdapter,
 }
 
+/// Requests that a cancel may stop.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CancelScope {
+    /// The sender's own request, in any state.
+    Own,
+    /// A request of another entry's claim: only one that the agent has not seen gets a tombstone,
+    /// for an accepted one already has a caller that reads its answer.
+    Unseen,
+}
+
 /// Answer to a cancel.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CancelReply {
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -26,7 +26,11 @@
         request: ids::RequestId,
     ) -> message::CancelReply;
     /// Prevents or stops the run of a request.
-    async fn cancel(agent: ids::Incarnation, request: ids::RequestId) -> message::CancelReply;
+    async fn cancel(
+        agent: ids::Incarnation,
+        request: ids::RequestId,
+        scope: message::CancelScope,
+    ) -> message::CancelReply;
     /// Newest configuration, if newer than the version given.
     async fn configuration(known_version: u64) -> Option<message::ConfigurationImage>;
 }
@@ -51,6 +55,7 @@
         &self,
         agent: ids::Incarnation,
         request: ids::RequestId,
+        scope: message::CancelScope,
     ) -> BoxFuture<'_, message::CancelReply>;
     /// Newest configuration, if newer than the version given.
     fn configuration(
@@ -94,8 +99,9 @@
         _: context::Context,
         agent: ids::Incarnation,
         request: ids::RequestId,
+        scope: message::CancelScope,
     ) -> message::CancelReply {
-        self.0.cancel(agent, request).await
+        self.0.cancel(agent, request, scope).await
     }
 
     async fn configuration(
