Keep batch places for high priority

Change: one place in 16 is left free by lower priorities for 30 s after the last high-priority request. The predicted wait and the cost of a candidate leave the place out for lower priorities.

--- a/crates/decisions/src/candidates.rs
+++ b/crates/decisions/src/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{endpoint_state, endpoint_table, hash_ring, routing, units};
+use crate::{batch_reserve, endpoint_state, endpoint_table, hash_ring, routing, units};
 
 /// Cost of a full batch beside the predicted wait, so that new copies go to idle endpoints.
 const FULL_BATCH_COST: time::Duration = time::Duration::from_millis(40);
@@ -78,7 +78,7 @@
             .mul_f64(slowness)
             .max(load_wait + self.first_token.mul_f64(slowness))
             + state.distance * 2;
-        let filled = f64::from(state.outstanding()) / f64::from(state.batch_limit);
+        let filled = f64::from(state.outstanding()) / f64::from(self.places(state));
         let crowded = ((filled - FREELY_FILLED) / (1.0 - FREELY_FILLED)).clamp(0.0, 1.0);
         Some(Candidate {
             slot,
@@ -94,9 +94,19 @@
         })
     }
 
+    /// Batch places that the request may use.
+    fn places(&self, state: &endpoint_state::EndpointState) -> u32 {
+        let limit = usize::try_from(state.batch_limit).unwrap_or(usize::MAX);
+        let reserved = match self.request.priority {
+            units::Priority::High => 0,
+            _ => batch_reserve::reserved_places(limit),
+        };
+        u32::try_from(limit - reserved).unwrap_or(u32::MAX)
+    }
+
     /// Time until a new request enters the batch.
     fn queue_wait(&self, state: &endpoint_state::EndpointState) -> time::Duration {
-        let free = state.batch_limit.saturating_sub(state.occupied);
+        let free = self.places(state).saturating_sub(state.occupied);
         let behind = state.unreported().saturating_sub(free);
         let turns = f64::from(behind) / f64::from(state.batch_limit);
         state.waits[self.request.priority as usize] + self.request_time.mul_f64(turns)
--- a/crates/decisions/src/fifo_queue.rs
+++ b/crates/decisions/src/fifo_queue.rs
@@ -5,14 +5,14 @@
 use crate::{
     ids,
     queueing::{self, QueuePolicy},
-    units,
+    service_time, units,
 };
 
 /// Baseline: first in, first out, without regard to priority, adapter or length.
 #[derive(Debug, Default)]
 pub struct FifoQueue {
     waiting: collections::VecDeque<queueing::QueuedRequest>,
-    service_time: queueing::ServiceTime,
+    service_time: service_time::ServiceTime,
 }
 
 impl QueuePolicy for FifoQueue {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backlog;
+pub mod batch_reserve;
 pub mod candidates;
 pub mod claim_attempt;
 pub mod claim_batch;
@@ -25,6 +26,7 @@
 pub mod request_table;
 pub mod retries;
 pub mod routing;
+mod service_time;
 pub mod slots;
 pub mod stragglers;
 pub mod units;
--- a/crates/decisions/src/queueing.rs
+++ b/crates/decisions/src/queueing.rs
@@ -3,12 +3,13 @@
 //! The queue decides which request enters the engine's batch next. Priorities come first, then a
 //! weighted fair share between operators, then deadlines. A request whose adapter is already in
 //! the batch may overtake the others of its priority while no deadline is at risk, because an
-//! engine step costs more with every distinct adapter. The length of an answer is not known
+//! engine step costs more with every distinct adapter. Lower priorities leave some places free for
+//! high priority, see [`batch_reserve`]. The length of an answer is not known
 //! beforehand: a request counts as long once it has generated [`LONG_TOKENS`].
 
 use std::{collections, time};
 
-use crate::{ids, units};
+use crate::{batch_reserve, ids, service_time, units};
 
 /// Generated tokens after which a request counts as long.
 pub const LONG_TOKENS: u32 = 512;
@@ -21,8 +22,6 @@
 pub const STARTS_PER_LOW: u32 = 16;
 /// Earliest deadlines checked before a batch preference, which bounds the cost of one pick.
 const DEADLINES_CHECKED: usize = 64;
-/// Weight of the newest service time in the moving average.
-const SERVICE_TIME_GAIN: f64 = 0.1;
 /// Shortest retry-after; shorter values cause a retry before anything has changed.
 const MIN_RETRY: time::Duration = time::Duration::from_millis(50);
 
@@ -134,28 +133,6 @@
     }
 }
 
-/// Moving average of the time one request holds a place in the batch.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ServiceTime {
-    seconds: Option<f64>,
-}
-
-impl ServiceTime {
-    pub(crate) fn observe(&mut self, service_time: time::Duration) {
-        let sample = service_time.as_secs_f64();
-        let mean = self.seconds.unwrap_or(sample);
-        self.seconds = Some(mean + SERVICE_TIME_GAIN * (sample - mean));
-    }
-
-    /// Time in which `starts` places become free.
-    pub(crate) fn for_starts(&self, starts: usize, batch_limit: usize) -> time::Duration {
-        let limit = u32::try_from(batch_limit.max(1)).unwrap_or(u32::MAX);
-        let starts = u32::try_from(starts).unwrap_or(u32::MAX);
-        let interval = self.seconds.unwrap_or(0.0) / f64::from(limit);
-        time::Duration::from_secs_f64(interval * f64::from(starts))
-    }
-}
-
 /// Waiting requests of one operator within one priority, sorted by deadline.
 #[derive(Debug)]
 struct OperatorQueue {
@@ -250,7 +227,8 @@
     parked: collections::VecDeque<ids::RequestId>,
     starts_since_low: u32,
     low_turns: usize,
-    service_time: ServiceTime,
+    reserve: batch_reserve::BatchReserve,
+    service_time: service_time::ServiceTime,
 }
 
 impl ReplicaQueue {
@@ -280,6 +258,12 @@
         let lower: Vec<_> = (0..highest)
             .filter(|priority| may_run(&self.priorities[*priority]))
             .collect();
+        let reserved = self
+            .reserve
+            .places(units::Priority::ALL[highest], batch.limit);
+        if batch.running.len() + reserved >= batch.limit + ENGINE_QUEUE {
+            return None;
+        }
         let is_low_turn = self.starts_since_low + 1 >= STARTS_PER_LOW;
         let chosen = if lower.is_empty() || !is_low_turn {
             highest
@@ -337,6 +321,8 @@
     }
 
     fn next(&mut self, batch: &BatchView<'_>, now: units::Timestamp) -> Option<QueuePick> {
+        let high = &self.priorities[units::Priority::High as usize];
+        self.reserve.update(high.len() > 0, now);
         if batch.is_full() {
             return None;
         }
@@ -383,7 +369,8 @@
             .flat_map(PriorityQueue::iter)
             .filter(|request| batch.may_run(request))
             .count();
-        let free = batch.limit.saturating_sub(batch.running.len());
+        let reserved = self.reserve.places(priority, batch.limit);
+        let free = batch.limit.saturating_sub(batch.running.len() + reserved);
         let starts = (ahead + 1).saturating_sub(free);
         self.service_time.for_starts(starts, batch.limit)
     }
--- a/crates/decisions/tests/queueing.rs
+++ b/crates/decisions/tests/queueing.rs
@@ -172,3 +172,25 @@
     let retry = queue.retry_after(units::Priority::High, 4, left);
     assert!(retry > time::Duration::ZERO);
 }
+
+// Guards against batches that lower priorities fill up while high priority is in use.
+#[test]
+fn lower_priorities_leave_places_for_high() {
+    let mut queue = queueing::ReplicaQueue::default();
+    queue.push(queueing::QueuedRequest {
+        priority: units::Priority::High,
+        ..request(1, 1, "a")
+    });
+    queue.push(request(2, 1, "a"));
+    queue.push(request(3, 1, "a"));
+    queue.observe(time::Duration::from_secs(8));
+    let batch: Vec<_> = (10..41).map(|number| running(number, 1, 5)).collect();
+    let batch = view(&batch, 32);
+    assert_eq!(start(&mut queue, &batch).unwrap().request, id(1));
+    assert_eq!(start(&mut queue, &batch), None);
+    let wait = |priority| queue.expected_wait(priority, &batch);
+    assert_eq!(wait(units::Priority::High), time::Duration::ZERO);
+    assert!(wait(units::Priority::Normal) > time::Duration::ZERO);
+    let emptier = view(&batch.running[..30], 32);
+    assert!(start(&mut queue, &emptier).is_some());
+}
