Report adapters that wait for their load

The six most popular adapters were loaded 5 or 6 times: reports named only started loads, so entries forgot a load that waited for the store for more than 2 s and caused it elsewhere, which made all waits longer. Ruled out: the waits by priority and the interval of reports (both tried alone). Change: reports name pending loads; load and eviction records name adapter and replica.

--- a/crates/agent/src/loading.rs
+++ b/crates/agent/src/loading.rs
@@ -42,14 +42,13 @@
         match result {
             Ok(()) => {
                 let mut state = self.state.lock();
+                let name = state.name(plan.adapter);
                 state.slots.loaded(&plan, now);
                 state.trim_names();
                 drop(state);
-                telemetry::logs::info(
-                    logger,
-                    telemetry::events::ADAPTER_LOADED,
-                    "an adapter was loaded",
-                );
+                let name = name.map(|name| name.to_string()).unwrap_or_default();
+                let message = format!("replica {} loaded {name}", self.replica);
+                telemetry::logs::info(logger, telemetry::events::ADAPTER_LOADED, &message);
             }
             Err(error) => {
                 telemetry::logs::warn(
@@ -79,6 +78,11 @@
                 Err(error) => return Err(error),
             }
             self.context.metrics.evict();
+            telemetry::logs::info(
+                &self.context.logger,
+                telemetry::events::ADAPTER_EVICTED,
+                &format!("replica {} evicted {victim}", self.replica),
+            );
         }
         let Some(adapter) = names(plan.adapter) else {
             return Ok(());
--- a/crates/agent/src/replica.rs
+++ b/crates/agent/src/replica.rs
@@ -206,7 +206,7 @@
             queued: u16::try_from(state.queue.waiting()).unwrap_or(u16::MAX),
             wait_millis,
             adapters: state.slots.resident(),
-            loading: state.slots.loading(),
+            loading: state.slots.pending(),
         }
     }
 
--- a/crates/agent/tests/behaviour.rs
+++ b/crates/agent/tests/behaviour.rs
@@ -357,6 +357,27 @@
     assert!(is_sent(&reply), "500 ms have passed");
 }
 
+// Guards against entries that load an adapter elsewhere although it waits for its load here.
+#[tokio::test(start_paused = true)]
+async fn waiting_loads_are_reported_as_pending() {
+    let agent = TestAgent::start(2, KEPT).await;
+    agent.engine.state.lock().load_time = 20 * SECOND;
+    let session = agent.hello().await;
+    for (sequence, adapter) in (1..).zip(["a@1", "b@1", "c@1", "d@1"]) {
+        agent.dispatch(agent.work(session, sequence, adapter)).await;
+    }
+    tokio::time::sleep(SECOND).await;
+    let PollReply::Events {
+        report: Some(ReportUpdate::Full(report)),
+        ..
+    } = agent.poll_holding(session, 0).await
+    else {
+        panic!("a full report is due");
+    };
+    let replica = &report.replicas[0];
+    assert_eq!(replica.loading.len(), 4);
+}
+
 // Guards against differences sent to an entry that has lost the report before them.
 #[tokio::test(start_paused = true)]
 async fn report_is_sent_in_full_unless_the_entry_holds_the_last_one() {
--- a/crates/decisions/src/slots.rs
+++ b/crates/decisions/src/slots.rs
@@ -263,6 +263,20 @@
         self.in_state(SlotState::Loading)
     }
 
+    /// Adapters that are being loaded or wait for their load, sorted. Entries send further requests
+    /// for them here instead of causing a second load elsewhere.
+    #[must_use]
+    pub fn pending(&self) -> Vec<ids::AdapterId> {
+        let waiting = self.loads.waiting();
+        let mut pending: Vec<_> = waiting
+            .filter(|adapter| self.slot_position(*adapter).is_err())
+            .chain(self.loading())
+            .collect();
+        pending.sort_unstable();
+        pending.dedup();
+        pending
+    }
+
     /// Adapters that wait for a load that has not started.
     #[must_use]
     pub fn waiting_loads(&self) -> usize {
--- a/crates/experiments/src/replica.rs
+++ b/crates/experiments/src/replica.rs
@@ -255,7 +255,7 @@
             queued: u16::try_from(self.queue.waiting()).unwrap_or(u16::MAX),
             waits: units::Priority::ALL.map(|priority| self.queue.expected_wait(priority, &batch)),
             loaded: resident.clone(),
-            loading: self.slots.loading(),
+            loading: self.slots.pending(),
         }
     }
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -280,12 +280,13 @@
     /// Largest batch of the engine, in requests.
     pub batch_limit: u16,
     pub running: u16,
+    /// Requests that wait for a place in the batch or for a load.
     pub queued: u16,
     /// Predicted wait of a new request by priority from low to high, in milliseconds.
     pub wait_millis: [u32; 3],
     /// Adapters that are loaded, sorted.
     pub adapters: Vec<ids::AdapterId>,
-    /// Adapters that are being loaded, sorted.
+    /// Adapters that are being loaded or wait for their load, sorted.
     pub loading: Vec<ids::AdapterId>,
 }
 
--- a/src/demo_cluster.rs
+++ b/src/demo_cluster.rs
@@ -184,7 +184,10 @@
             address: self.service.address(),
             timeout: time::Duration::from_secs(5),
         });
-        let agent = AgentServer::start(settings).await.context(AgentSnafu)?;
+        let logger = telemetry::logs::stderr_logger("agent", &settings.data_centre);
+        let agent = AgentServer::start_with(settings, logger)
+            .await
+            .context(AgentSnafu)?;
         self.agents.push(agent);
         Ok(())
     }
