Use plain names for the entry's admission and the report cache

Cause: read-through; two names were figurative and check repeated itself. Conclusion: no change of behaviour.

--- a/crates/agent/src/assembly.rs
+++ b/crates/agent/src/assembly.rs
@@ -70,7 +70,7 @@
     handler::AgentState {
         incarnation,
         data_centre: settings.data_centre.clone(),
-        reports: reports::ReportBoard::new(clock, names.collect()),
+        reports: reports::ReportCache::new(clock, names.collect()),
         context,
         replicas,
         services,
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -29,7 +29,7 @@
     pub context: Arc<replica::AgentContext>,
     pub replicas: Vec<Arc<replica::ReplicaDriver>>,
     pub services: Vec<Arc<services::ServiceCaller>>,
-    pub reports: reports::ReportBoard,
+    pub reports: reports::ReportCache,
     /// Configuration that the follower publishes, if a log is set.
     pub configuration: Option<watch::Receiver<follower::PublishedState>>,
     pub is_leaving: atomic::AtomicBool,
--- a/crates/agent/src/reports.rs
+++ b/crates/agent/src/reports.rs
@@ -13,7 +13,7 @@
 const REPORT_STEP: time::Duration = time::Duration::from_millis(50);
 
 /// Newest report.
-pub struct ReportBoard {
+pub struct ReportCache {
     clock: clock::AgentClock,
     services: Vec<String>,
     newest: Mutex<NewestReport>,
@@ -24,8 +24,8 @@
     built: Option<units::Timestamp>,
 }
 
-impl ReportBoard {
-    /// Board without a report, for an agent that offers these services.
+impl ReportCache {
+    /// Cache without a report, for an agent that offers these services.
     #[must_use]
     pub fn new(clock: clock::AgentClock, services: Vec<String>) -> Self {
         Self {
--- a/crates/entry/src/admissions.rs
+++ b/crates/entry/src/admissions.rs
@@ -13,7 +13,7 @@
 const TOP_ADAPTERS: usize = 5;
 
 /// Admission of requests and those that wait for their first token.
-pub struct AdmissionDesk {
+pub struct EntryAdmission {
     clock: clock::EntryClock,
     control: Mutex<admission::AdmissionControl>,
     backlog: Mutex<backlog::BacklogTable>,
@@ -21,7 +21,7 @@
 
 /// Request in the backlog; it leaves when this is dropped.
 pub struct WaitingEntry {
-    desk: Arc<AdmissionDesk>,
+    admission: Arc<EntryAdmission>,
     request: ids::RequestId,
     priority: units::Priority,
     received: units::Timestamp,
@@ -48,8 +48,8 @@
     pub top_adapters: Vec<BacklogStatus>,
 }
 
-impl AdmissionDesk {
-    /// Creates a desk without requests.
+impl EntryAdmission {
+    /// Creates an admission without requests.
     #[must_use]
     pub fn new(clock: clock::EntryClock) -> Self {
         let now = clock.now();
@@ -105,7 +105,7 @@
             expected: now + choice.first_token,
         });
         WaitingEntry {
-            desk: Arc::clone(self),
+            admission: Arc::clone(self),
             request,
             priority: plan.priority,
             received: now,
@@ -145,26 +145,26 @@
     /// Time since the dispatch beyond the predicted wait.
     #[must_use]
     pub fn unpredicted_time(&self) -> time::Duration {
-        let taken = self.desk.clock.now().since(self.received);
+        let taken = self.admission.clock.now().since(self.received);
         taken.saturating_sub(self.predicted_wait)
     }
 
     /// Records the first token, for later admissions.
     pub fn answered(self, is_on_time: bool) {
-        let now = self.desk.clock.now();
+        let now = self.admission.clock.now();
         let outcome = admission::AdmissionOutcome {
             priority: self.priority,
             predicted_wait: self.predicted_wait,
             wait: now.since(self.received),
             on_time: is_on_time,
         };
-        self.desk.control.lock().observe(&outcome, now);
+        self.admission.control.lock().observe(&outcome, now);
     }
 }
 
 impl Drop for WaitingEntry {
     fn drop(&mut self) {
-        self.desk.backlog.lock().stop(self.request);
+        self.admission.backlog.lock().stop(self.request);
     }
 }
 
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -42,7 +42,7 @@
     pub(crate) retries: Mutex<retries::RetryPolicy>,
     configuration: Arc<configuration::ConfigurationView>,
     drain: Arc<drain::DrainState>,
-    desk: Arc<admissions::AdmissionDesk>,
+    admission: Arc<admissions::EntryAdmission>,
     keyed: Option<Arc<keyed::KeyedRequests>>,
     journal: Arc<journal::RequestJournal>,
 }
@@ -75,7 +75,7 @@
         directory: Arc<directory::AgentDirectory>,
         metrics: Arc<metrics::EntryMetrics>,
         configuration: Arc<configuration::ConfigurationView>,
-        desk: Arc<admissions::AdmissionDesk>,
+        admission: Arc<admissions::EntryAdmission>,
         runtime: runtime::Handle,
     ) -> Self {
         Self {
@@ -90,7 +90,7 @@
             retries: Mutex::new(retries::RetryPolicy::new(units::Timestamp(0))),
             configuration,
             drain: Arc::default(),
-            desk,
+            admission,
             keyed: None,
             journal: Arc::new(journal::RequestJournal::new(logs::discard_logger())),
         }
@@ -233,9 +233,9 @@
                 let chosen = directory.choose(&wanted).map_err(failures::refused)?;
                 let choice = chosen.choice;
                 if tried.is_empty() {
-                    self.desk.admit(plan, &choice)?;
+                    self.admission.admit(plan, &choice)?;
                 }
-                let waiting = self.desk.wait(plan, request, *adapter, &choice);
+                let waiting = self.admission.wait(plan, request, *adapter, &choice);
                 directory.observe(|routing, now| {
                     routing.dispatched(request, *adapter, &choice, now);
                 });
@@ -339,7 +339,7 @@
     }
 
     fn metrics(&self) -> String {
-        self.context.metrics.backlog(&self.desk.report());
+        self.context.metrics.backlog(&self.admission.report());
         self.context.metrics.render()
     }
 
@@ -350,7 +350,7 @@
             "configuration_version": self.configuration.version(),
             "draining": self.drain.is_draining(),
             "open_requests": self.drain.open(),
-            "backlog": self.desk.report(),
+            "backlog": self.admission.report(),
             "agents": self.context.directory.status(),
         })
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -107,7 +107,7 @@
             Arc::clone(&directory),
             metrics,
             Arc::clone(&configuration),
-            Arc::new(admissions::AdmissionDesk::new(clock)),
+            Arc::new(admissions::EntryAdmission::new(clock)),
             runtime::Handle::current(),
         );
         let dispatcher = dispatcher.with_journal(journal::RequestJournal::new(logger.clone()));
--- a/src/check.rs
+++ b/src/check.rs
@@ -5,7 +5,7 @@
 use agent::settings::AgentSettings;
 use entry::settings::EntrySettings;
 use operators::patch;
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
 
 /// Reason why a file cannot be checked.
@@ -67,8 +67,8 @@
     };
     let faults = match kind {
         FileKind::Patch => patch_faults(text),
-        FileKind::Agent => agent_faults(text),
-        FileKind::Entry => entry_faults(text),
+        FileKind::Agent => settings_faults(text, AgentSettings::validate),
+        FileKind::Entry => settings_faults(text, EntrySettings::validate),
     };
     CheckReport {
         kind: Some(kind),
@@ -111,24 +111,13 @@
     fault.path == "base" && fault.problem.contains("missing")
 }
 
-fn agent_faults(text: &str) -> Vec<String> {
-    match serde_saphyr::from_str::<AgentSettings>(text) {
-        Ok(settings) => settings
-            .validate()
-            .iter()
-            .map(ToString::to_string)
-            .collect(),
-        Err(error) => vec![error.to_string()],
-    }
-}
-
-fn entry_faults(text: &str) -> Vec<String> {
-    match serde_saphyr::from_str::<EntrySettings>(text) {
-        Ok(settings) => settings
-            .validate()
-            .iter()
-            .map(ToString::to_string)
-            .collect(),
+/// Faults of a settings file; `validate` lists those that the format allows.
+fn settings_faults<T: DeserializeOwned, F: ToString>(
+    text: &str,
+    validate: impl Fn(&T) -> Vec<F>,
+) -> Vec<String> {
+    match serde_saphyr::from_str(text) {
+        Ok(settings) => validate(&settings).iter().map(F::to_string).collect(),
         Err(error) => vec![error.to_string()],
     }
 }
