--- a/crates/agent/src/replica.rs
+++ b/crates/agent/src/replica.rs
@@ -205,8 +205,8 @@
             running: u16::try_from(state.running.len()).unwrap_or(u16::MAX),
             queued: u16::try_from(state.queue.waiting()).unwrap_or(u16::MAX),
             wait_millis,
-            adapters: state.slots.resident(),
             loading: state.slots.pending(),
+            adapters: resident,
         }
     }
 
