--- /dev/null
+++ b/crates/broker/src/message.rs
@@ -0,0 +1,129 @@
+//! Messages between entries and brokers.
+
+use std::time;
+
+use decisions::slot_broker;
+use serde::{Deserialize, Serialize};
+
+/// Incarnation of an engine as the store lists it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineName {
+    pub id: String,
+    /// Start of the engine, in Unix milliseconds.
+    pub incarnation: u64,
+}
+
+/// Size of an engine, from the configuration in force at the entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineSize {
+    pub adapter_slots: u32,
+    pub batch_slots: u32,
+}
+
+/// Adapter that a request needs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NeededAdapter {
+    pub name: String,
+    /// Lowest version that will do; 0 for any.
+    pub version: u32,
+}
+
+/// Request for a place at an engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlaceCall {
+    /// Incarnation of the entry.
+    pub entry: u64,
+    pub number: u64,
+    pub engine: EngineName,
+    pub size: EngineSize,
+    pub model: String,
+    pub adapter: Option<NeededAdapter>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    pub prompt_tokens: u32,
+    /// Longest wait for the adapter.
+    pub wait: time::Duration,
+    /// Places that the entry gives up.
+    pub released: Vec<u64>,
+}
+
+/// Reason why there is no place.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RefusalReason {
+    Backlog,
+    Slots,
+    Late,
+    Engine,
+    /// The broker stands beside another incarnation of the engine.
+    OtherEngine,
+}
+
+/// Answer to a request for a place.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PlaceAnswer {
+    Granted {
+        /// Version of the adapter in its slot.
+        version: Option<u32>,
+    },
+    Refused {
+        reason: RefusalReason,
+        retry_after: time::Duration,
+    },
+}
+
+/// State of an engine, with the places that are taken at it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineView {
+    pub incarnation: u64,
+    /// Name and version of the adapters in slots.
+    pub held: Vec<(String, u32)>,
+    /// Names of adapters that the engine held recently.
+    pub recent: Vec<String>,
+    /// Slots that a further adapter may take.
+    pub room: u32,
+    /// Time until the engine would begin another prompt.
+    pub backlog: time::Duration,
+    pub running: u32,
+    /// Entries that use this broker.
+    pub entries: u32,
+}
+
+/// Reply to a request for a place.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlaceReply {
+    pub answer: PlaceAnswer,
+    pub view: EngineView,
+}
+
+/// Heartbeat of an entry, which also gives up places.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewCall {
+    pub entry: u64,
+    pub released: Vec<u64>,
+}
+
+impl From<slot_broker::PlaceRefusal> for RefusalReason {
+    fn from(reason: slot_broker::PlaceRefusal) -> Self {
+        match reason {
+            slot_broker::PlaceRefusal::Backlog => Self::Backlog,
+            slot_broker::PlaceRefusal::Slots => Self::Slots,
+            slot_broker::PlaceRefusal::Late => Self::Late,
+            slot_broker::PlaceRefusal::Engine => Self::Engine,
+        }
+    }
+}
+
+impl From<slot_broker::PlaceOutcome> for PlaceAnswer {
+    fn from(outcome: slot_broker::PlaceOutcome) -> Self {
+        match outcome {
+            slot_broker::PlaceOutcome::Granted { version } => Self::Granted { version },
+            slot_broker::PlaceOutcome::Refused {
+                reason,
+                retry_after,
+            } => Self::Refused {
+                reason: reason.into(),
+                retry_after,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/server.rs
@@ -0,0 +1,357 @@
+//! Broker process: places for entries, orders to the engine.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
+};
+
+use decisions::{slot_broker, units};
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use telemetry::{events, logs};
+use tokio::sync::{Notify, oneshot};
+
+use crate::{engine, message, service, settings};
+
+/// Reports while a load is awaited.
+const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(35);
+/// Reports while the engine only serves.
+const CALM_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Reports without an answer after which waiting requests are refused.
+const SILENT_REPORTS: u32 = 3;
+/// All orders of an engine come from the broker on its instance, so the token never changes hands.
+/// A late order is kept out by the number of accepted orders that it expects.
+const FENCING_TOKEN: u64 = 1;
+
+struct WaitingPlace {
+    id: slot_broker::PlaceId,
+    outcome: oneshot::Sender<slot_broker::PlaceOutcome>,
+}
+
+struct EngineState {
+    broker: slot_broker::SlotBroker,
+    waiting: Vec<WaitingPlace>,
+    name: message::EngineName,
+    model: String,
+    /// Accepted orders, from the newest report.
+    sequence: u64,
+    silent_reports: u32,
+}
+
+/// Broker of one engine.
+pub struct EngineBroker {
+    settings: settings::BrokerSettings,
+    orders: Box<dyn engine::EngineOrders>,
+    state: Mutex<EngineState>,
+    started: time::Instant,
+    wake: Notify,
+    logger: slog::Logger,
+    orders_given: AtomicU64,
+}
+
+impl EngineBroker {
+    /// Broker over the calls to its engine.
+    #[must_use]
+    pub fn new(
+        settings: settings::BrokerSettings,
+        orders: Box<dyn engine::EngineOrders>,
+        logger: slog::Logger,
+    ) -> Self {
+        let limits = slot_broker::BrokerLimits {
+            adapter_slots: 0,
+            parallel_loads: settings.parallel_loads,
+            batch_slots: 1,
+            prefill_rate: settings.prefill_tokens_per_ms,
+        };
+        let state = EngineState {
+            broker: slot_broker::SlotBroker::new(limits),
+            waiting: Vec::new(),
+            name: message::EngineName {
+                id: String::new(),
+                incarnation: 0,
+            },
+            model: String::new(),
+            sequence: 0,
+            silent_reports: 0,
+        };
+        Self {
+            settings,
+            orders,
+            state: Mutex::new(state),
+            started: time::Instant::now(),
+            wake: Notify::new(),
+            logger,
+            orders_given: AtomicU64::new(0),
+        }
+    }
+
+    /// Follows the engine and gives it orders until the task is dropped.
+    pub async fn run(&self) {
+        loop {
+            let is_known = !self.state.lock().model.is_empty();
+            if !is_known {
+                self.wake.notified().await;
+                continue;
+            }
+            self.report().await;
+            while self.order().await {
+                self.report().await;
+            }
+            let is_busy = self.state.lock().broker.is_busy();
+            if is_busy {
+                tokio::time::sleep(BUSY_INTERVAL).await;
+            } else {
+                let _ = tokio::time::timeout(CALM_INTERVAL, self.wake.notified()).await;
+            }
+        }
+    }
+
+    /// Orders given since the start.
+    pub fn orders_given(&self) -> u64 {
+        self.orders_given.load(Ordering::Relaxed)
+    }
+
+    fn now(&self) -> units::Timestamp {
+        let micros = self.started.elapsed().as_micros();
+        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    async fn report(&self) {
+        let model = self.state.lock().model.clone();
+        let report = self.orders.report(&model).await;
+        let now = self.now();
+        let mut state = self.state.lock();
+        let outcomes = match report {
+            Ok(report) => {
+                if state.silent_reports >= SILENT_REPORTS {
+                    logs::info(
+                        &self.logger,
+                        events::ENGINE_REGAINED,
+                        "the engine answers again",
+                    );
+                }
+                state.silent_reports = 0;
+                state.sequence = report.sequence;
+                state.broker.observe(&report.slots, now)
+            }
+            Err(error) => {
+                state.silent_reports += 1;
+                if state.silent_reports < SILENT_REPORTS {
+                    return;
+                }
+                if state.silent_reports == SILENT_REPORTS {
+                    logs::warn(&self.logger, events::ENGINE_UNREACHABLE, &error.to_string());
+                }
+                state.broker.lose_engine()
+            }
+        };
+        state.settle(outcomes);
+    }
+
+    /// Gives the next order; true if the engine's state may have changed.
+    async fn order(&self) -> bool {
+        let now = self.now();
+        let (order, fenced) = {
+            let mut state = self.state.lock();
+            if state.silent_reports > 0 {
+                return false;
+            }
+            let Some(order) = state.broker.next_order(now) else {
+                return false;
+            };
+            let fenced = engine::FencedOrder {
+                order: order.clone(),
+                model: state.model.clone(),
+                engine: state.name.id.clone(),
+                sequence: state.sequence,
+                holder: self.settings.instance.clone(),
+                fencing_token: FENCING_TOKEN,
+            };
+            (order, fenced)
+        };
+        self.orders_given.fetch_add(1, Ordering::Relaxed);
+        let sequence = fenced.sequence;
+        let reply = self.orders.order(fenced).await;
+        self.log_order(&order, sequence, &reply);
+        let mut state = self.state.lock();
+        match (&reply, &order) {
+            (Ok(engine::OrderReply::Accepted), slot_broker::AdapterOrder::Unload { name }) => {
+                state.broker.unloaded(name);
+                true
+            }
+            (Ok(engine::OrderReply::Accepted), slot_broker::AdapterOrder::Load { .. }) => true,
+            _ => {
+                state.broker.order_failed(&order, self.now());
+                false
+            }
+        }
+    }
+
+    fn log_order(
+        &self,
+        order: &slot_broker::AdapterOrder,
+        sequence: u64,
+        reply: &Result<engine::OrderReply, engine::EngineError>,
+    ) {
+        let outcome = match reply {
+            Ok(reply) => format!("{reply:?}"),
+            Err(error) => error.to_string(),
+        };
+        let (event, adapter) = match order {
+            slot_broker::AdapterOrder::Load { name, version } => {
+                (events::ADAPTER_ORDERED, format!("{name}@{version}"))
+            }
+            slot_broker::AdapterOrder::Unload { name } => (events::ADAPTER_EVICTED, name.clone()),
+        };
+        slog::info!(self.logger, "order to the engine";
+            "event" => event.number, "name" => event.name, "adapter" => adapter,
+            "sequence" => sequence, "outcome" => outcome);
+    }
+
+    /// Takes what the entry knows of the engine; false if it means an earlier incarnation.
+    fn adopt(&self, state: &mut EngineState, call: &message::PlaceCall) -> bool {
+        if call.engine.incarnation < state.name.incarnation {
+            return false;
+        }
+        if call.engine != state.name {
+            let incarnation = call.engine.incarnation;
+            slog::info!(self.logger, "engine known"; "event" => events::ENGINE_RESTARTED.number,
+                "name" => events::ENGINE_RESTARTED.name, "engine" => &call.engine.id,
+                "incarnation" => incarnation);
+            state.name = call.engine.clone();
+        }
+        if state.model != call.model {
+            state.model.clone_from(&call.model);
+            self.wake.notify_one();
+        }
+        state.broker.set_limits(slot_broker::BrokerLimits {
+            adapter_slots: usize::try_from(call.size.adapter_slots).unwrap_or(0),
+            parallel_loads: self.settings.parallel_loads,
+            batch_slots: usize::try_from(call.size.batch_slots).unwrap_or(1),
+            prefill_rate: self.settings.prefill_tokens_per_ms,
+        });
+        true
+    }
+
+    async fn take_place(&self, call: message::PlaceCall) -> message::PlaceReply {
+        let now = self.now();
+        let id = slot_broker::PlaceId {
+            entry: call.entry,
+            number: call.number,
+        };
+        let waiting = {
+            let mut state = self.state.lock();
+            state.release(call.entry, &call.released, now);
+            if !self.adopt(&mut state, &call) {
+                return message::PlaceReply {
+                    answer: message::PlaceAnswer::Refused {
+                        reason: message::RefusalReason::OtherEngine,
+                        retry_after: time::Duration::ZERO,
+                    },
+                    view: state.view(now),
+                };
+            }
+            let request = slot_broker::PlaceRequest {
+                id,
+                adapter: call.adapter.map(|adapter| slot_broker::AdapterWant {
+                    name: adapter.name,
+                    version: adapter.version,
+                }),
+                priority: call.priority,
+                prompt_tokens: call.prompt_tokens,
+                deadline: now + call.wait,
+            };
+            if let Some(outcome) = state.broker.ask(request, now) {
+                return message::PlaceReply {
+                    answer: outcome.into(),
+                    view: state.view(now),
+                };
+            }
+            let (sender, receiver) = oneshot::channel();
+            state.waiting.push(WaitingPlace {
+                id,
+                outcome: sender,
+            });
+            receiver
+        };
+        self.wake.notify_one();
+        let outcome = waiting.await.unwrap_or(slot_broker::PlaceOutcome::Refused {
+            reason: slot_broker::PlaceRefusal::Engine,
+            retry_after: time::Duration::ZERO,
+        });
+        let view = self.state.lock().view(self.now());
+        message::PlaceReply {
+            answer: outcome.into(),
+            view,
+        }
+    }
+}
+
+impl EngineState {
+    /// Tells waiting calls their outcomes; a place of a call that is gone is given up.
+    fn settle(&mut self, outcomes: Vec<(slot_broker::PlaceId, slot_broker::PlaceOutcome)>) {
+        for (id, outcome) in outcomes {
+            let Some(position) = self.waiting.iter().position(|place| place.id == id) else {
+                continue;
+            };
+            let place = self.waiting.swap_remove(position);
+            if place.outcome.send(outcome).is_err() {
+                self.broker.release(id, units::Timestamp::default());
+            }
+        }
+    }
+
+    fn release(&mut self, entry: u64, numbers: &[u64], now: units::Timestamp) {
+        for number in numbers {
+            let id = slot_broker::PlaceId {
+                entry,
+                number: *number,
+            };
+            self.broker.release(id, now);
+        }
+    }
+
+    fn view(&self, now: units::Timestamp) -> message::EngineView {
+        let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
+        let held = self.broker.held();
+        message::EngineView {
+            incarnation: self.name.incarnation,
+            held: held
+                .map(|content| (content.name.clone(), content.version))
+                .collect(),
+            recent: self.broker.recent().map(str::to_owned).collect(),
+            room: count(self.broker.room()),
+            backlog: self.broker.backlog(now),
+            running: count(self.broker.running()),
+            entries: count(self.broker.entries(now)),
+        }
+    }
+}
+
+impl service::BrokerHandler for EngineBroker {
+    fn place(&self, call: message::PlaceCall) -> BoxFuture<'_, message::PlaceReply> {
+        Box::pin(self.take_place(call))
+    }
+
+    fn view(&self, call: message::ViewCall) -> message::EngineView {
+        let now = self.now();
+        let mut state = self.state.lock();
+        state.broker.heard(call.entry, now);
+        state.release(call.entry, &call.released, now);
+        state.view(now)
+    }
+}
+
+/// Runs a broker until the task is dropped.
+///
+/// # Errors
+/// [`service::BrokerError`] when its address is in use.
+pub async fn serve(broker: Arc<EngineBroker>) -> Result<(), service::BrokerError> {
+    let listen = broker.settings.listen;
+    let handler: Arc<dyn service::BrokerHandler> = Arc::clone(&broker) as _;
+    let (_, served) = tokio::join!(broker.run(), service::serve(listen, handler));
+    served
+}
--- /dev/null
+++ b/crates/broker/src/service.rs
@@ -0,0 +1,131 @@
+//! RPC interface of a broker.
+
+use std::{io, net, sync::Arc, time};
+
+use futures::{StreamExt, future::BoxFuture};
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use tarpc::{client, context, serde_transport::tcp, server, server::Channel, tokio_serde::formats};
+use tokio::{net::TcpStream, task};
+
+use crate::message;
+
+/// Longest message; calls are small, so a longer one is a fault.
+const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+/// Silence after which the other end of a connection is probed, and between probes.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Interface served by a broker.
+#[tarpc::service]
+pub trait BrokerRpc {
+    /// Asks for a place and waits for the adapter.
+    async fn place(call: message::PlaceCall) -> message::PlaceReply;
+    /// Heartbeat that fetches the engine's state.
+    async fn view(call: message::ViewCall) -> message::EngineView;
+}
+
+/// Broker side of [`BrokerRpc`], as a trait object for the listener.
+pub trait BrokerHandler: Send + Sync {
+    /// Asks for a place and waits for the adapter.
+    fn place(&self, call: message::PlaceCall) -> BoxFuture<'_, message::PlaceReply>;
+    /// Heartbeat that fetches the engine's state.
+    fn view(&self, call: message::ViewCall) -> message::EngineView;
+}
+
+#[derive(Clone)]
+struct RpcAdapter(Arc<dyn BrokerHandler>);
+
+impl BrokerRpc for RpcAdapter {
+    async fn place(self, _: context::Context, call: message::PlaceCall) -> message::PlaceReply {
+        self.0.place(call).await
+    }
+
+    async fn view(self, _: context::Context, call: message::ViewCall) -> message::EngineView {
+        self.0.view(call)
+    }
+}
+
+/// Reason why a connection cannot be set up.
+#[derive(Debug, Snafu)]
+pub enum BrokerError {
+    #[snafu(display("cannot connect to the broker at {address}: {source}"))]
+    Connect {
+        address: net::SocketAddr,
+        source: io::Error,
+    },
+    #[snafu(display("no connection to the broker at {address} within {limit:?}"))]
+    ConnectTimeout {
+        address: net::SocketAddr,
+        limit: time::Duration,
+    },
+    #[snafu(display("cannot listen on {address}: {source}; check that the address is free"))]
+    Listen {
+        address: net::SocketAddr,
+        source: io::Error,
+    },
+}
+
+/// Connects to a broker.
+///
+/// # Errors
+/// [`BrokerError`] when the connection is refused or takes longer than `limit`.
+pub async fn connect(
+    address: net::SocketAddr,
+    limit: time::Duration,
+) -> Result<BrokerRpcClient, BrokerError> {
+    let mut connecting = tcp::connect(address, formats::Bincode::default);
+    connecting.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+    let transport = tokio::time::timeout(limit, connecting)
+        .await
+        .ok()
+        .ok_or(BrokerError::ConnectTimeout { address, limit })?
+        .context(ConnectSnafu { address })?;
+    prepare(transport.get_ref()).context(ConnectSnafu { address })?;
+    Ok(BrokerRpcClient::new(client::Config::default(), transport).spawn())
+}
+
+/// Serves calls until the task is dropped.
+///
+/// # Errors
+/// [`BrokerError::Listen`] when the address is in use.
+pub async fn serve(
+    address: net::SocketAddr,
+    handler: Arc<dyn BrokerHandler>,
+) -> Result<(), BrokerError> {
+    let mut incoming = tcp::listen(address, formats::Bincode::default)
+        .await
+        .context(ListenSnafu { address })?;
+    incoming.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+    let mut channels = task::JoinSet::new();
+    while let Some(transport) = incoming.next().await {
+        let Ok(transport) = transport else { continue };
+        if prepare(transport.get_ref()).is_err() {
+            continue;
+        }
+        let channel = server::BaseChannel::with_defaults(transport);
+        let calls = channel.execute(RpcAdapter(Arc::clone(&handler)).serve());
+        channels.spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+        while channels.try_join_next().is_some() {}
+    }
+    Ok(())
+}
+
+/// Call context with a deadline of `limit` from now.
+#[must_use]
+pub fn deadline(limit: time::Duration) -> context::Context {
+    let mut call = context::current();
+    call.deadline = time::Instant::now() + limit;
+    call
+}
+
+/// Sends small messages at once and notices a peer that has vanished.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(2);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/broker/src/settings.rs
@@ -0,0 +1,34 @@
+//! Settings of a broker.
+
+use std::net;
+
+use serde::Deserialize;
+
+/// Settings file of a broker, in YAML.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BrokerSettings {
+    /// Name of the instance; the holder of all orders to its engine.
+    pub instance: String,
+    pub data_centre: String,
+    /// Address for entries.
+    pub listen: net::SocketAddr,
+    /// Address of the engine on this instance.
+    pub engine: Option<net::SocketAddr>,
+    /// Address of the metrics.
+    pub metrics: Option<net::SocketAddr>,
+    /// Prompt tokens that the engine reads in a millisecond.
+    #[serde(default = "default_prefill_rate")]
+    pub prefill_tokens_per_ms: f64,
+    /// Loads under way at the same time.
+    #[serde(default = "default_parallel_loads")]
+    pub parallel_loads: usize,
+}
+
+fn default_prefill_rate() -> f64 {
+    20.0
+}
+
+fn default_parallel_loads() -> usize {
+    2
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
 pub mod admission;
+pub mod attempt_budget;
 pub mod backlog;
 pub mod batch_reserve;
 pub mod candidates;
@@ -13,6 +14,7 @@
 pub mod endpoint_state;
 pub mod endpoint_table;
 pub mod eviction;
+pub mod failure_rate;
 pub mod fifo_queue;
 pub mod hash_ring;
 pub mod ids;
@@ -23,10 +25,12 @@
 pub mod membership;
 pub mod peer_times;
 pub mod queueing;
+pub mod replica_choice;
 pub mod request_table;
 pub mod retries;
 pub mod routing;
 mod service_time;
+pub mod slot_broker;
 pub mod slots;
 pub mod stragglers;
 pub mod units;
--- /dev/null
+++ b/crates/decisions/src/replica_choice.rs
@@ -0,0 +1,134 @@
+//! Choice of the replica that gets a request.
+//!
+//! Each replica is judged by the time until it would begin the request: its backlog, the load of
+//! the adapter if it is missing, and the way to another data centre. The rank of the adapter's hash
+//! at the replica separates replicas that are otherwise alike, so that all entries send a rarely
+//! used adapter to the same one without talking to each other. Load: thousands of adapters on a few
+//! slots, of which most are asked for once in a while.
+
+use std::time;
+
+/// Load of an adapter from the weight store, while the store is not crowded.
+const COLD_LOAD: time::Duration = time::Duration::from_millis(280);
+/// Load of an adapter that the replica held recently.
+const WARM_LOAD: time::Duration = time::Duration::from_millis(40);
+/// Wait for a slot at a replica whose adapters are all in use.
+const CROWDED: time::Duration = time::Duration::from_millis(900);
+/// Added for a replica in another data centre, whose traffic is dear.
+const REMOTE: time::Duration = time::Duration::from_millis(25);
+/// Added for each replica that ranks before this one, unless it holds the adapter.
+const RANK_STEP: time::Duration = time::Duration::from_millis(15);
+/// Ranks beyond this one are alike.
+const MAX_RANK: u32 = 16;
+/// Added for a replica that fails all requests; a smaller part of failures adds less.
+const FAILING: time::Duration = time::Duration::from_secs(4);
+/// Added while the broker beside a replica does not answer and the adapter is missing.
+const UNORDERED: time::Duration = time::Duration::from_secs(5);
+
+/// Where the adapter of a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdapterPlace {
+    /// In a slot of the replica, or not needed.
+    Held,
+    /// The replica held it recently.
+    Warm,
+    /// In the weight store.
+    Cold,
+}
+
+/// What is known of a replica for one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReplicaOption {
+    pub adapter: AdapterPlace,
+    /// A slot is free or its adapter is idle.
+    pub has_room: bool,
+    /// The broker beside the replica answers.
+    pub is_ordered: bool,
+    /// Time until the replica would begin another request.
+    pub backlog: time::Duration,
+    pub is_local: bool,
+    /// Part of the recent requests that failed, 0 to 1.
+    pub failures: f64,
+    /// Position of the replica in the order of the adapter's hash.
+    pub rank: u32,
+}
+
+impl ReplicaOption {
+    /// Time until the replica would begin the request, with what else speaks against it.
+    #[must_use]
+    pub fn cost(&self) -> time::Duration {
+        let mut cost = self.backlog + FAILING.mul_f64(self.failures.clamp(0.0, 1.0));
+        if !self.is_local {
+            cost += REMOTE;
+        }
+        cost + self.load_cost()
+    }
+
+    fn load_cost(&self) -> time::Duration {
+        let load = match self.adapter {
+            AdapterPlace::Held => return time::Duration::ZERO,
+            AdapterPlace::Warm => WARM_LOAD,
+            AdapterPlace::Cold => COLD_LOAD,
+        };
+        let mut cost = load + RANK_STEP * self.rank.min(MAX_RANK);
+        if !self.has_room {
+            cost += CROWDED;
+        }
+        if !self.is_ordered {
+            cost += UNORDERED;
+        }
+        cost
+    }
+}
+
+/// Position of the option with the lowest cost; of equal ones the better ranked.
+#[must_use]
+pub fn choose(options: &[ReplicaOption]) -> Option<usize> {
+    let best = options
+        .iter()
+        .enumerate()
+        .min_by_key(|(_, option)| (option.cost(), option.rank));
+    best.map(|(position, _)| position)
+}
+
+/// What is known of a replica of a plain service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceOption {
+    /// Requests at the replica, as far as known.
+    pub outstanding: u32,
+    pub slots: u32,
+    /// Duration of work now against the usual one.
+    pub pace: f64,
+    pub is_local: bool,
+    /// Part of the recent requests that failed, 0 to 1.
+    pub failures: f64,
+}
+
+/// Added to the cost of a plain service's replica in another data centre, in usual durations.
+const REMOTE_WORK: f64 = 0.15;
+/// Added for a replica of a plain service that fails all requests, in usual durations.
+const FAILING_WORK: f64 = 20.0;
+
+impl ServiceOption {
+    /// Expected time of the request, in usual durations of work.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let outstanding = f64::from(self.outstanding);
+        let waiting = (outstanding + 1.0 - slots).max(0.0) / slots;
+        let crowding = 0.1 * outstanding / slots;
+        let remote = if self.is_local { 0.0 } else { REMOTE_WORK };
+        let failing = FAILING_WORK * self.failures.clamp(0.0, 1.0);
+        (1.0 + waiting + crowding) * self.pace.max(0.1) + remote + failing
+    }
+}
+
+/// Position of the service option with the lowest cost.
+#[must_use]
+pub fn choose_service(options: &[ServiceOption]) -> Option<usize> {
+    let best = options
+        .iter()
+        .enumerate()
+        .min_by(|(_, one), (_, other)| one.cost().total_cmp(&other.cost()));
+    best.map(|(position, _)| position)
+}
--- /dev/null
+++ b/crates/gateway/src/catalog.rs
@@ -0,0 +1,217 @@
+//! Configuration in force: routes, services, limits and adapter versions.
+//!
+//! Versions only rise. A configuration that is read late or from a stale copy is ignored, so one
+//! process never goes back.
+
+use std::time;
+
+use decisions::units;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteKind {
+    /// The request may run more than once.
+    Safe,
+    /// The request may run once.
+    Unsafe,
+    /// The answer is a stream of events; it may be resumed only if `resumable`.
+    Stream { resumable: bool },
+}
+
+impl RouteKind {
+    /// Whether a request that may have run can be sent again.
+    #[must_use]
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Safe | Self::Stream { resumable: true })
+    }
+}
+
+/// Service that gets a share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceShare {
+    pub service: String,
+    pub weight: u32,
+}
+
+/// Route of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteEntry {
+    pub name: String,
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub kind: RouteKind,
+    pub timeout: time::Duration,
+    /// Time within which an answer is on time.
+    pub objective: time::Duration,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    pub shares: Vec<ServiceShare>,
+    /// Replicas to which one request may be sent.
+    pub max_attempts: u32,
+    /// Longest pause between events that is still on time.
+    pub event_gap: time::Duration,
+}
+
+impl RouteEntry {
+    /// Service for a request, by its hash.
+    #[must_use]
+    pub fn service(&self, hash: u64) -> Option<&str> {
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let mut rest = hash.checked_rem(total)?;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if rest < weight {
+                return Some(&share.service);
+            }
+            rest -= weight;
+        }
+        None
+    }
+}
+
+/// Memory and places of the engines of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineLimits {
+    pub slots: u32,
+    pub kv_tokens: u64,
+    pub adapter_slots: u32,
+}
+
+/// Service of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceEntry {
+    pub name: String,
+    /// Connections that one replica accepts from all callers.
+    pub max_connections: u32,
+    pub engine: Option<EngineLimits>,
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    pub header_bytes: usize,
+    pub body_bytes: usize,
+    pub header_timeout: time::Duration,
+    pub idle_timeout: time::Duration,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigurationVersion {
+    pub version: u64,
+    pub routes: Vec<RouteEntry>,
+    pub services: Vec<ServiceEntry>,
+    pub limits: CallerLimits,
+}
+
+impl ConfigurationVersion {
+    /// Route of a host with the longest prefix of a path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
+        let path = path.split('?').next().unwrap_or_default();
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host))
+            .filter(|route| path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len())
+    }
+
+    /// Service by its name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// Newest version of an adapter that operators have declared.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdapterVersion {
+    pub model: String,
+    pub adapter: String,
+    pub version: u32,
+}
+
+/// What changed when a record was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CatalogChange {
+    Configuration {
+        version: u64,
+    },
+    Adapter {
+        version: u32,
+    },
+    /// The record is not newer than what is in force.
+    Stale,
+}
+
+/// Configuration of one process.
+#[derive(Debug, Default)]
+pub struct ServingCatalog {
+    current: Option<std::sync::Arc<ConfigurationVersion>>,
+    /// Sorted by model and adapter.
+    adapters: Vec<AdapterVersion>,
+    adopted_at: units::Timestamp,
+}
+
+impl ServingCatalog {
+    /// Takes a configuration if it is newer.
+    pub fn adopt(&mut self, found: ConfigurationVersion, now: units::Timestamp) -> CatalogChange {
+        let version = found.version;
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|held| held.version >= version)
+        {
+            return CatalogChange::Stale;
+        }
+        self.current = Some(std::sync::Arc::new(found));
+        self.adopted_at = now;
+        CatalogChange::Configuration { version }
+    }
+
+    /// Takes the version of an adapter if it is newer.
+    pub fn adopt_adapter(&mut self, found: AdapterVersion) -> CatalogChange {
+        let version = found.version;
+        match self.find(&found.model, &found.adapter) {
+            Ok(position) if self.adapters[position].version >= version => CatalogChange::Stale,
+            Ok(position) => {
+                self.adapters[position] = found;
+                CatalogChange::Adapter { version }
+            }
+            Err(position) => {
+                self.adapters.insert(position, found);
+                CatalogChange::Adapter { version }
+            }
+        }
+    }
+
+    /// Configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Option<std::sync::Arc<ConfigurationVersion>> {
+        self.current.clone()
+    }
+
+    /// Declared version of an adapter.
+    #[must_use]
+    pub fn adapter(&self, model: &str, adapter: &str) -> Option<u32> {
+        let position = self.find(model, adapter).ok()?;
+        Some(self.adapters[position].version)
+    }
+
+    /// Time since the configuration in force was adopted.
+    #[must_use]
+    pub fn age(&self, now: units::Timestamp) -> time::Duration {
+        now.since(self.adopted_at)
+    }
+
+    fn find(&self, model: &str, adapter: &str) -> Result<usize, usize> {
+        self.adapters.binary_search_by(|held| {
+            (held.model.as_str(), held.adapter.as_str()).cmp(&(model, adapter))
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connections.rs
@@ -0,0 +1,210 @@
+//! Connections to replicas, kept open and used again.
+//!
+//! A connection carries one request at a time. It returns to the pool only after a complete answer;
+//! dropping it earlier closes it, which makes the replica drop the request.
+
+use std::{io, net, time};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task, time::Instant};
+
+/// Silence after which the other end is probed, and between probes.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time in which sent bytes must be acknowledged.
+const ACKNOWLEDGEMENT_LIMIT: time::Duration = time::Duration::from_millis(1500);
+/// Idle time after which a connection is not used again, unless its replica states less.
+const IDLE_LIMIT: time::Duration = time::Duration::from_secs(8);
+/// Idle connections kept for one replica.
+const MAX_IDLE: usize = 24;
+
+/// Reason why a request has no answer.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Connect {
+        address: net::SocketAddr,
+        source: io::Error,
+    },
+    #[snafu(display("no connection to {address} within {limit:?}"))]
+    ConnectTimeout {
+        address: net::SocketAddr,
+        limit: time::Duration,
+    },
+    #[snafu(display("the connection closed before the request was sent"))]
+    NotSent,
+    #[snafu(display("the connection broke after the request was sent: {source}"))]
+    Lost { source: hyper::Error },
+}
+
+impl SendError {
+    /// Whether no byte of the request reached the replica.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        !matches!(self, Self::Lost { .. })
+    }
+}
+
+/// Open connection to a replica.
+pub struct ReplicaConnection {
+    address: net::SocketAddr,
+    /// Replica for which the connection was opened.
+    replica: String,
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: task::AbortHandle,
+    is_reused: bool,
+}
+
+impl Drop for ReplicaConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl ReplicaConnection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// [`SendError`] when it is refused or takes longer than `limit`.
+    pub async fn open(
+        address: net::SocketAddr,
+        replica: &str,
+        limit: time::Duration,
+    ) -> Result<Self, SendError> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(limit, connecting)
+            .await
+            .ok()
+            .ok_or(SendError::ConnectTimeout { address, limit })?
+            .context(ConnectSnafu { address })?;
+        prepare(&stream).context(ConnectSnafu { address })?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| SendError::NotSent)?;
+        let driver = tokio::spawn(async move {
+            // An error reaches the request on the connection, if there is one.
+            let _ = driver.await;
+        });
+        Ok(Self {
+            address,
+            replica: replica.to_owned(),
+            sender,
+            driver: driver.abort_handle(),
+            is_reused: false,
+        })
+    }
+
+    /// Whether the connection has carried a request before.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`SendError`], which tells whether the request may have reached the replica.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sender.ready().await.map_err(|_| SendError::NotSent)?;
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                if error.take_message().is_some() {
+                    return Err(SendError::NotSent);
+                }
+                Err(SendError::Lost {
+                    source: error.into_error(),
+                })
+            }
+        }
+    }
+}
+
+struct IdleConnection {
+    connection: ReplicaConnection,
+    until: Instant,
+}
+
+/// Idle connections, sorted by address.
+#[derive(Default)]
+pub struct ConnectionPool {
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+impl ConnectionPool {
+    /// Takes the connection to a replica that was used last.
+    pub fn take(&self, address: net::SocketAddr, replica: &str) -> Option<ReplicaConnection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.retain(|held| now < held.until && !held.connection.sender.is_closed());
+        let position = idle.iter().rposition(|held| {
+            held.connection.address == address
+                && held.connection.replica == replica
+                && held.connection.sender.is_ready()
+        })?;
+        Some(idle.remove(position).connection)
+    }
+
+    /// Keeps a connection after a complete answer. `idle_limit` is what the replica states.
+    pub fn keep(&self, mut connection: ReplicaConnection, idle_limit: Option<time::Duration>) {
+        let limit = idle_limit.map_or(IDLE_LIMIT, |limit| limit.mul_f64(0.6).min(IDLE_LIMIT));
+        if limit.is_zero() {
+            return;
+        }
+        connection.is_reused = true;
+        let mut idle = self.idle.lock();
+        let address = connection.address;
+        let same = idle
+            .iter()
+            .filter(|held| held.connection.address == address);
+        if same.count() >= MAX_IDLE {
+            return;
+        }
+        let position = idle.partition_point(|held| held.connection.address <= address);
+        let until = Instant::now() + limit;
+        idle.insert(position, IdleConnection { connection, until });
+    }
+
+    /// Drops the idle connections to an address, whose replica is gone or failing.
+    pub fn forget(&self, address: net::SocketAddr) {
+        self.idle
+            .lock()
+            .retain(|held| held.connection.address != address);
+    }
+}
+
+/// Idle time that an answer allows for its connection; zero if it must not be used again.
+#[must_use]
+pub fn idle_limit(headers: &http::HeaderMap) -> Option<time::Duration> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = text(http::header::CONNECTION)
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return Some(time::Duration::ZERO);
+    }
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = stated
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(time::Duration::from_secs)
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_LIMIT))
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,644 @@
+//! Attempts at a request: choice of a replica, place, send, and what follows a failure.
+//!
+//! A request is sent again only if it did not run, or if its route allows that it runs again; each
+//! repeat draws on the budget that all gateways share.
+
+use std::{sync::Arc, time};
+
+use broker::message;
+use bytes::Bytes;
+use decisions::{attempt_budget, units};
+use http::{Request, Response, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::{answers, catalog, connections, dialect, journal, members, metrics, plan, settings};
+
+/// Time for a new connection to a replica.
+const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(300);
+/// Time after a deadline in which a replica's own answer to it may still arrive.
+const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
+/// Part of the time left that a request waits for its adapter at one engine.
+const PLACE_WAIT_PART: f64 = 0.6;
+/// Engines that are asked for a place.
+const MAX_PLACES: usize = 3;
+/// Replicas that are tried in vain for a connection.
+const MAX_UNREACHABLE: usize = 3;
+/// Shortest time after which a silent replica is given up for another one.
+const MIN_SILENCE: time::Duration = time::Duration::from_millis(400);
+/// Largest answer of a plain service.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// State shared by all requests of a gateway.
+pub struct Dispatcher {
+    pub settings: settings::GatewaySettings,
+    /// Random number of this start.
+    pub incarnation: u64,
+    pub wire: Arc<dyn dialect::WireDialect>,
+    pub catalog: Mutex<catalog::ServingCatalog>,
+    pub members: Mutex<members::ReplicaTable>,
+    pub budget: Mutex<attempt_budget::AttemptBudget>,
+    pub pool: connections::ConnectionPool,
+    pub journal: journal::RequestJournal,
+    pub metrics: metrics::GatewayMetrics,
+    places: Mutex<u64>,
+    started: Instant,
+}
+
+/// Request that was sent, with the head of its answer.
+pub struct OpenAttempt {
+    pub replica: members::ChosenReplica,
+    pub head: response::Parts,
+    pub body: Incoming,
+    pub connection: connections::ReplicaConnection,
+    pub guard: AttemptGuard,
+}
+
+/// Releases what an attempt holds.
+pub struct AttemptGuard {
+    dispatcher: Arc<Dispatcher>,
+    replica: members::ChosenReplica,
+    place: Option<u64>,
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.dispatcher.members.lock().ended(&self.replica.id);
+        if let Some(place) = self.place {
+            self.replica.broker.release(place);
+        }
+    }
+}
+
+/// Complete answer of a replica.
+pub struct WholeAnswer {
+    pub head: response::Parts,
+    pub body: Bytes,
+}
+
+/// What is known of a failed attempt's run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunKnowledge {
+    /// Nothing reached a replica.
+    Unsent,
+    NotRun,
+    Unknown,
+    /// The replica ran it and answered with a failure.
+    Ran,
+}
+
+/// Attempt without a good answer.
+pub struct Setback {
+    pub replica: String,
+    pub knowledge: RunKnowledge,
+    pub reason: &'static str,
+    /// Failure of the replica, to be passed on if there is no other attempt.
+    pub answer: Option<WholeAnswer>,
+    /// A repeat was taken from the budget already.
+    pub is_paid: bool,
+}
+
+/// End of all attempts at a request.
+pub enum Outcome {
+    Whole {
+        replica: String,
+        answer: WholeAnswer,
+    },
+    /// Stream that has begun, with the sends so far.
+    Stream(Box<OpenAttempt>, u32),
+    Own(answers::OwnAnswer),
+}
+
+/// Attempts at one request so far.
+#[derive(Default)]
+pub struct AttemptHistory {
+    excluded: Vec<String>,
+    /// Sends that reached a replica.
+    arrivals: u32,
+    unreachable: usize,
+    /// One of them may have run or ran.
+    may_have_run: bool,
+}
+
+impl Dispatcher {
+    /// Dispatcher that knows no configuration and no replica.
+    #[must_use]
+    pub fn new(
+        settings: settings::GatewaySettings,
+        incarnation: u64,
+        wire: Arc<dyn dialect::WireDialect>,
+        logger: slog::Logger,
+        metrics: metrics::GatewayMetrics,
+    ) -> Self {
+        let limits = attempt_budget::BudgetLimits {
+            ratio: settings.retry_budget.ratio,
+            window: settings.retry_budget.window_s,
+            slack: settings.retry_budget.slack,
+        };
+        // Until brokers have told how many entries there are.
+        let entries = u32::try_from(settings.data_centres.len()).unwrap_or(u32::MAX);
+        let entries = entries.max(1).saturating_mul(2);
+        Self {
+            members: Mutex::new(members::ReplicaTable::new(
+                &settings.data_centre,
+                settings.broker_port,
+            )),
+            budget: Mutex::new(attempt_budget::AttemptBudget::new(limits, entries)),
+            settings,
+            incarnation,
+            wire,
+            catalog: Mutex::default(),
+            pool: connections::ConnectionPool::default(),
+            journal: journal::RequestJournal::new(logger),
+            metrics,
+            places: Mutex::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    /// Time since the start of this process.
+    #[must_use]
+    pub fn now(&self) -> units::Timestamp {
+        let micros = self.started.elapsed().as_micros();
+        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Whether requests can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.catalog.lock().current().is_some() && self.members.lock().ready() > 0
+    }
+
+    /// Makes attempts until there is an answer.
+    pub async fn run(self: &Arc<Self>, plan: &plan::RequestPlan) -> Outcome {
+        self.budget.lock().first(&plan.service, self.now());
+        let mut history = AttemptHistory::default();
+        let resume_after = plan.request.resume_after;
+        loop {
+            let attempt = self.attempt(plan, &mut history, resume_after).await;
+            let setback = match attempt {
+                Ok(open) if plan.is_stream() => {
+                    return Outcome::Stream(Box::new(open), history.arrivals);
+                }
+                Ok(open) => match self.collect(plan, open).await {
+                    Ok((replica, answer)) => return Outcome::Whole { replica, answer },
+                    Err(setback) => setback,
+                },
+                Err(AttemptError::Refused(answer)) => {
+                    return Outcome::Own(history.last_answer(answer));
+                }
+                Err(AttemptError::Setback(setback)) => setback,
+            };
+            let is_repeated = self.may_repeat(plan, &mut history, &setback);
+            let replica = &setback.replica;
+            self.journal
+                .retried(plan, replica, setback.reason, is_repeated);
+            if !is_repeated {
+                return history.outcome(plan, setback);
+            }
+            self.metrics.retried(setback.reason);
+        }
+    }
+
+    /// Sends a request to one replica.
+    ///
+    /// # Errors
+    /// [`AttemptError`] when there is none or it has no good answer.
+    pub async fn attempt(
+        self: &Arc<Self>,
+        plan: &plan::RequestPlan,
+        history: &mut AttemptHistory,
+        resume_after: Option<u64>,
+    ) -> Result<OpenAttempt, AttemptError> {
+        let (replica, place, version) = self.place(plan, history).await?;
+        self.members.lock().sent(&replica.id);
+        let guard = AttemptGuard {
+            dispatcher: Arc::clone(self),
+            replica: replica.clone(),
+            place,
+        };
+        let mut connection = self.connect(&replica).await.map_err(|error| {
+            self.members.lock().unreachable(&replica.id, self.now());
+            self.pool.forget(replica.address);
+            AttemptError::unsent(&replica.id, connect_label(&error))
+        })?;
+        history.arrivals += 1;
+        self.journal.sent(plan, &replica, history.arrivals, version);
+        let request = self.request(plan, &replica, version, resume_after);
+        let can_switch = plan.route.kind == catalog::RouteKind::Safe;
+        let head = self
+            .head(plan, history, can_switch, connection.send(request))
+            .await;
+        let response = match head {
+            Ok(response) => response,
+            Err(reason) => return Err(self.failed_send(&replica, reason).into()),
+        };
+        let (head, body) = response.into_parts();
+        if let Some(sample) = self.wire.load(&head.headers) {
+            self.members.lock().sampled(&replica.id, sample, self.now());
+        }
+        let open = OpenAttempt {
+            replica,
+            head,
+            body,
+            connection,
+            guard,
+        };
+        self.judge(plan, open).await
+    }
+
+    /// Keeps the connection of an attempt whose answer is complete.
+    pub fn keep(&self, connection: connections::ReplicaConnection, head: &response::Parts) {
+        self.pool
+            .keep(connection, connections::idle_limit(&head.headers));
+    }
+
+    /// Chooses a replica, with a place if it is an engine.
+    async fn place(
+        &self,
+        plan: &plan::RequestPlan,
+        history: &AttemptHistory,
+    ) -> Result<(members::ChosenReplica, Option<u64>, Option<u32>), AttemptError> {
+        let Some(engine) = plan.engine else {
+            let members = self.members.lock();
+            let chosen = members.choose_service(&plan.service, &history.excluded, self.now());
+            let replica = chosen.ok_or(AttemptError::Refused(answers::OwnAnswer::NO_REPLICA))?;
+            return Ok((replica, None, None));
+        };
+        let mut excluded = history.excluded.clone();
+        let mut refusal = answers::OwnAnswer::NO_REPLICA;
+        for _ in 0..MAX_PLACES {
+            let now = self.now();
+            let chosen = self.members.lock().choose_engine(plan, &excluded, now);
+            let Some(replica) = chosen else { break };
+            excluded.push(replica.id.clone());
+            if replica.cost > plan.time_left() + UNPLACED {
+                break;
+            }
+            let number = self.next_place();
+            let call = self.place_call(plan, &replica, engine, number);
+            let asked = Instant::now();
+            match replica.broker.place(call, now).await {
+                Ok(reply) => {
+                    self.metrics.placed(asked.elapsed());
+                    let now = self.now();
+                    self.members.lock().viewed(&replica.id, reply.view, now);
+                    match reply.answer {
+                        message::PlaceAnswer::Granted { version } => {
+                            return Ok((replica, Some(number), version));
+                        }
+                        message::PlaceAnswer::Refused {
+                            reason,
+                            retry_after,
+                        } => {
+                            let label = answers::refusal_label(reason);
+                            self.journal.retried(plan, &replica.id, label, true);
+                            refusal = answers::OwnAnswer::no_place(reason, retry_after);
+                        }
+                    }
+                }
+                // Without its broker, an engine serves the adapters that it holds.
+                Err(_) if replica.is_held => {
+                    let version = replica.version;
+                    return Ok((replica, None, version));
+                }
+                Err(error) => {
+                    self.journal
+                        .retried(plan, &replica.id, &error.to_string(), true);
+                }
+            }
+            if !plan.has_time() {
+                break;
+            }
+        }
+        Err(AttemptError::Refused(refusal))
+    }
+
+    fn place_call(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &members::ChosenReplica,
+        engine: catalog::EngineLimits,
+        number: u64,
+    ) -> message::PlaceCall {
+        let need = plan.request.generation.clone().unwrap_or_default();
+        message::PlaceCall {
+            entry: self.incarnation,
+            number,
+            engine: message::EngineName {
+                id: replica.id.clone(),
+                incarnation: replica.incarnation,
+            },
+            size: message::EngineSize {
+                adapter_slots: engine.adapter_slots,
+                batch_slots: engine.slots,
+            },
+            model: need.model,
+            adapter: need.adapter.map(|name| message::NeededAdapter {
+                name,
+                version: plan.adapter_version,
+            }),
+            priority: plan.route.priority,
+            prompt_tokens: need.prompt_tokens,
+            wait: plan.time_left().mul_f64(PLACE_WAIT_PART),
+            released: Vec::new(),
+        }
+    }
+
+    fn next_place(&self) -> u64 {
+        let mut places = self.places.lock();
+        *places += 1;
+        *places
+    }
+
+    async fn connect(
+        &self,
+        replica: &members::ChosenReplica,
+    ) -> Result<connections::ReplicaConnection, connections::SendError> {
+        if let Some(connection) = self.pool.take(replica.address, &replica.id) {
+            return Ok(connection);
+        }
+        connections::ReplicaConnection::open(replica.address, &replica.id, CONNECT_LIMIT).await
+    }
+
+    fn request(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &members::ChosenReplica,
+        version: Option<u32>,
+        resume_after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let options = dialect::SendOptions {
+            replica: &replica.id,
+            time_left: plan.time_left(),
+            adapter_version: version,
+            priority: plan.engine.map(|_| plan.route.priority),
+            resume_after,
+        };
+        let mut request = Request::new(Full::new(plan.body.clone()));
+        *request.method_mut() = plan.head.method.clone();
+        *request.uri_mut() = plan.head.uri.clone();
+        *request.headers_mut() = self.wire.forwarded(&plan.head.headers, &options);
+        request
+    }
+
+    /// Waits for the head of an answer. A replica that is silent for long is given up for another
+    /// one if the request may run again and the budget allows it.
+    async fn head(
+        &self,
+        plan: &plan::RequestPlan,
+        history: &AttemptHistory,
+        can_switch: bool,
+        sending: impl Future<Output = Result<Response<Incoming>, connections::SendError>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        let mut sending = std::pin::pin!(sending);
+        let limit = plan.deadline + LATE_LIMIT;
+        if can_switch && history.arrivals < plan.route.max_attempts {
+            let silence = plan.route.objective.max(MIN_SILENCE);
+            match tokio::time::timeout(silence, &mut sending).await {
+                Ok(sent) => return sent.map_err(SendFailure::Connection),
+                Err(_) if plan.has_time() && self.take_repeat(plan) => {
+                    return Err(SendFailure::Silent);
+                }
+                Err(_) => {}
+            }
+        }
+        match tokio::time::timeout_at(limit, sending).await {
+            Ok(sent) => sent.map_err(SendFailure::Connection),
+            Err(_) => Err(SendFailure::Late),
+        }
+    }
+
+    fn failed_send(&self, replica: &members::ChosenReplica, failure: SendFailure) -> Setback {
+        let now = self.now();
+        let mut setback = Setback::new(&replica.id, RunKnowledge::Unknown, "connection_lost");
+        let mut members = self.members.lock();
+        match failure {
+            SendFailure::Connection(error) if error.is_unsent() => {
+                setback.knowledge = RunKnowledge::Unsent;
+                setback.reason = "connection_closed";
+            }
+            SendFailure::Connection(_) => members.observe(&replica.id, true, now),
+            SendFailure::Silent => {
+                setback.reason = "silent";
+                setback.is_paid = true;
+                members.observe(&replica.id, true, now);
+            }
+            SendFailure::Late => {
+                setback.reason = "timeout";
+                members.observe(&replica.id, true, now);
+            }
+        }
+        setback
+    }
+
+    /// Sorts the head of an answer into an attempt to go on with or a setback.
+    async fn judge(
+        &self,
+        plan: &plan::RequestPlan,
+        open: OpenAttempt,
+    ) -> Result<OpenAttempt, AttemptError> {
+        let verdict = self.wire.verdict(&open.head, &plan.request.id);
+        let id = open.replica.id.clone();
+        let failed = matches!(
+            verdict,
+            dialect::ReplicaVerdict::Failed | dialect::ReplicaVerdict::Foreign
+        );
+        self.members.lock().observe(&id, failed, self.now());
+        match verdict {
+            dialect::ReplicaVerdict::Answered => Ok(open),
+            dialect::ReplicaVerdict::NotRun => {
+                self.drain_body(open).await;
+                Err(Setback::new(&id, RunKnowledge::NotRun, "replica_refused").into())
+            }
+            dialect::ReplicaVerdict::Misdirected => {
+                self.drain_body(open).await;
+                Err(Setback::new(&id, RunKnowledge::NotRun, "misdirected").into())
+            }
+            dialect::ReplicaVerdict::Foreign => {
+                Err(Setback::new(&id, RunKnowledge::Unknown, "foreign_answer").into())
+            }
+            dialect::ReplicaVerdict::Failed => {
+                let mut setback = Setback::new(&id, RunKnowledge::Ran, "replica_failed");
+                match self.collect(plan, open).await {
+                    Ok((_, answer)) => setback.answer = Some(answer),
+                    Err(_) => setback.knowledge = RunKnowledge::Unknown,
+                }
+                Err(setback.into())
+            }
+        }
+    }
+
+    /// Reads a whole answer, so that the caller never gets half of one.
+    async fn collect(
+        &self,
+        plan: &plan::RequestPlan,
+        open: OpenAttempt,
+    ) -> Result<(String, WholeAnswer), Setback> {
+        let body = http_body_util::Limited::new(open.body, MAX_ANSWER_BYTES);
+        let limit = plan.deadline + LATE_LIMIT;
+        let id = open.replica.id;
+        match tokio::time::timeout_at(limit, body.collect()).await {
+            Ok(Ok(body)) => {
+                self.keep(open.connection, &open.head);
+                let answer = WholeAnswer {
+                    head: open.head,
+                    body: body.to_bytes(),
+                };
+                Ok((id, answer))
+            }
+            Ok(Err(_)) => {
+                self.members.lock().observe(&id, true, self.now());
+                Err(Setback::new(&id, RunKnowledge::Unknown, "answer_broken"))
+            }
+            Err(_) => Err(Setback::new(&id, RunKnowledge::Unknown, "timeout")),
+        }
+    }
+
+    /// Reads the rest of a refusal, so that its connection can be used again.
+    async fn drain_body(&self, open: OpenAttempt) {
+        let body = http_body_util::Limited::new(open.body, MAX_ANSWER_BYTES);
+        if let Ok(Ok(_)) = tokio::time::timeout(LATE_LIMIT, body.collect()).await {
+            self.keep(open.connection, &open.head);
+        }
+    }
+
+    /// Whether another attempt follows a setback.
+    fn may_repeat(
+        &self,
+        plan: &plan::RequestPlan,
+        history: &mut AttemptHistory,
+        setback: &Setback,
+    ) -> bool {
+        history.exclude(&setback.replica);
+        if setback.knowledge == RunKnowledge::Unsent {
+            // A connection that closed before the request was sent did not reach the replica.
+            history.unreachable += 1;
+            return history.unreachable <= MAX_UNREACHABLE && plan.has_time();
+        }
+        if setback.knowledge != RunKnowledge::NotRun {
+            history.may_have_run = true;
+            if !plan.route.kind.is_repeatable() {
+                return false;
+            }
+        }
+        if history.arrivals >= plan.route.max_attempts || !plan.has_time() {
+            return false;
+        }
+        setback.is_paid || self.take_repeat(plan)
+    }
+
+    /// Takes a repeat from the budget.
+    pub fn take_repeat(&self, plan: &plan::RequestPlan) -> bool {
+        let now = self.now();
+        let entries = self.members.lock().entries(now);
+        let mut budget = self.budget.lock();
+        if let Some(entries) = entries {
+            budget.set_entries(entries);
+        }
+        budget.try_repeat(&plan.service, now)
+    }
+}
+
+/// Time beyond the deadline at which an engine's cost is taken as no chance.
+const UNPLACED: time::Duration = time::Duration::from_secs(6);
+
+/// Why the head of an answer is missing.
+enum SendFailure {
+    Connection(connections::SendError),
+    Silent,
+    Late,
+}
+
+/// Why an attempt has no answer to go on with.
+pub enum AttemptError {
+    /// No replica has a place.
+    Refused(answers::OwnAnswer),
+    Setback(Setback),
+}
+
+impl AttemptError {
+    fn unsent(replica: &str, reason: &'static str) -> Self {
+        Self::Setback(Setback::new(replica, RunKnowledge::Unsent, reason))
+    }
+}
+
+impl From<Setback> for AttemptError {
+    fn from(setback: Setback) -> Self {
+        Self::Setback(setback)
+    }
+}
+
+impl Setback {
+    fn new(replica: &str, knowledge: RunKnowledge, reason: &'static str) -> Self {
+        Self {
+            replica: replica.to_owned(),
+            knowledge,
+            reason,
+            answer: None,
+            is_paid: false,
+        }
+    }
+}
+
+impl AttemptHistory {
+    /// History of a stream that goes on at another replica.
+    #[must_use]
+    pub fn resumed(replica: &str, arrivals: u32) -> Self {
+        Self {
+            excluded: vec![replica.to_owned()],
+            arrivals,
+            unreachable: 0,
+            may_have_run: true,
+        }
+    }
+
+    /// Leaves out a replica from further attempts.
+    pub fn exclude(&mut self, replica: &str) {
+        self.excluded.push(replica.to_owned());
+    }
+
+    /// Sends that reached a replica.
+    #[must_use]
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals
+    }
+
+    /// Own answer that is true for all attempts.
+    fn last_answer(&self, answer: answers::OwnAnswer) -> answers::OwnAnswer {
+        if self.may_have_run && answer.is_not_run() {
+            answers::OwnAnswer::LOST
+        } else {
+            answer
+        }
+    }
+
+    /// Final outcome after the last setback.
+    fn outcome(&self, plan: &plan::RequestPlan, setback: Setback) -> Outcome {
+        if let Some(answer) = setback.answer {
+            return Outcome::Whole {
+                replica: setback.replica,
+                answer,
+            };
+        }
+        if self.may_have_run {
+            let is_late = !plan.has_time();
+            return Outcome::Own(if is_late {
+                answers::OwnAnswer::TIMEOUT
+            } else {
+                answers::OwnAnswer::LOST
+            });
+        }
+        let pause = time::Duration::from_millis(100);
+        Outcome::Own(answers::OwnAnswer::not_run(setback.reason, pause))
+    }
+}
+
+fn connect_label(error: &connections::SendError) -> &'static str {
+    match error {
+        connections::SendError::ConnectTimeout { .. } => "connect_timeout",
+        _ => "connect_failed",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,71 @@
+//! Events of a stream, cut out of the bytes of its answer.
+//!
+//! Only whole events are passed on, so that a stream that breaks off in the middle of an event can
+//! go on from another replica.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event; a longer one is passed on in parts.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Splitter of one stream.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    rest: BytesMut,
+    /// Id of the newest whole event.
+    last: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Takes bytes and returns the whole events that they end.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let searched = self.rest.len().saturating_sub(3);
+        self.rest.extend_from_slice(bytes);
+        let end = end_of_events(&self.rest[searched..]).map(|end| searched + end);
+        let end = match end {
+            Some(end) => end,
+            None if self.rest.len() > MAX_EVENT_BYTES => self.rest.len(),
+            None => return None,
+        };
+        let whole = self.rest.split_to(end).freeze();
+        if let Some(id) = last_id(&whole) {
+            self.last = Some(id);
+        }
+        Some(whole)
+    }
+
+    /// Bytes after the last whole event.
+    pub fn finish(&mut self) -> Option<Bytes> {
+        let rest = std::mem::take(&mut self.rest).freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Drops the part of an event that a broken stream has left.
+    pub fn discard_rest(&mut self) {
+        self.rest.clear();
+    }
+
+    /// Id of the newest event that was passed on.
+    #[must_use]
+    pub fn last_id(&self) -> Option<u64> {
+        self.last
+    }
+}
+
+/// Position after the last empty line.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n");
+    let dos = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
+    let unix = unix.map(|position| position + 2);
+    let dos = dos.map(|position| position + 4);
+    unix.max(dos)
+}
+
+/// Newest id among whole events.
+fn last_id(bytes: &[u8]) -> Option<u64> {
+    bytes.rsplit(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        let text = std::str::from_utf8(value).ok()?;
+        text.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/journal.rs
@@ -0,0 +1,105 @@
+//! Log records of decisions about requests, one line each.
+
+use std::time;
+
+use telemetry::events;
+
+use crate::{answers, members, plan};
+
+/// Writer of the records.
+pub struct RequestJournal {
+    logger: slog::Logger,
+}
+
+impl RequestJournal {
+    /// Journal over a logger that drops records when it cannot keep up.
+    #[must_use]
+    pub fn new(logger: slog::Logger) -> Self {
+        Self { logger }
+    }
+
+    /// Logger for records that concern no request.
+    #[must_use]
+    pub fn logger(&self) -> &slog::Logger {
+        &self.logger
+    }
+
+    /// A request was sent to a replica.
+    pub fn sent(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &members::ChosenReplica,
+        attempt: u32,
+        version: Option<u32>,
+    ) {
+        slog::info!(self.logger, "sent";
+            "event" => events::REQUEST_SENT.number, "name" => events::REQUEST_SENT.name,
+            "request" => &plan.request.id, "route" => &plan.route.name,
+            "configuration" => plan.configuration, "replica" => &replica.id,
+            "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
+            "adapter_version" => version, "expected_ms" => millis(replica.cost),
+            "view_age_ms" => replica.view_age.map(millis),
+            "left_ms" => millis(plan.time_left()));
+    }
+
+    /// A replica did not answer a request as it should.
+    pub fn retried(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &str,
+        reason: &str,
+        is_repeated: bool,
+    ) {
+        slog::info!(self.logger, "attempt failed";
+            "event" => events::REQUEST_RETRIED.number, "name" => events::REQUEST_RETRIED.name,
+            "request" => &plan.request.id, "replica" => replica, "reason" => reason,
+            "is_repeated" => is_repeated, "left_ms" => millis(plan.time_left()));
+    }
+
+    /// The gateway gave an answer of its own.
+    pub fn refused(&self, request: &str, answer: &answers::OwnAnswer) {
+        let event = match answer.status {
+            502 | 504 => events::REQUEST_OUTCOME_UNKNOWN,
+            _ => events::REQUEST_REFUSED,
+        };
+        slog::info!(self.logger, "own answer";
+            "event" => event.number, "name" => event.name, "request" => request,
+            "status" => answer.status, "reason" => answer.reason,
+            "retry_after_ms" => answer.retry_after.map(millis));
+    }
+
+    /// A replica's answer reached its end.
+    pub fn answered(&self, plan: &plan::RequestPlan, replica: &str, status: u16) {
+        slog::info!(self.logger, "answered";
+            "event" => events::REQUEST_ANSWERED.number, "name" => events::REQUEST_ANSWERED.name,
+            "request" => &plan.request.id, "replica" => replica, "status" => status,
+            "elapsed_ms" => millis(plan.received_at.elapsed()));
+    }
+
+    /// A stream goes on at another replica.
+    pub fn resumed(&self, plan: &plan::RequestPlan, from: &str, to: &str, after: Option<u64>) {
+        slog::info!(self.logger, "stream resumed";
+            "event" => events::STREAM_RESUMED.number, "name" => events::STREAM_RESUMED.name,
+            "request" => &plan.request.id, "from" => from, "to" => to, "after" => after);
+    }
+
+    /// A stream was broken off after its head was sent.
+    pub fn broken(&self, plan: &plan::RequestPlan, replica: &str, reason: &str) {
+        slog::warn!(self.logger, "stream broken off";
+            "event" => events::REQUEST_FAILED.number, "name" => events::REQUEST_FAILED.name,
+            "request" => &plan.request.id, "replica" => replica, "reason" => reason,
+            "elapsed_ms" => millis(plan.received_at.elapsed()));
+    }
+
+    /// The caller left before the end of its answer.
+    pub fn abandoned(&self, plan: &plan::RequestPlan) {
+        slog::info!(self.logger, "caller left";
+            "event" => events::REQUEST_ABANDONED.number, "name" => events::REQUEST_ABANDONED.name,
+            "request" => &plan.request.id,
+            "elapsed_ms" => millis(plan.received_at.elapsed()));
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! Gateway role: takes callers' requests and sends each to a replica over HTTP.
+//!
+//! The gateway holds the queue of nobody: it chooses a replica from what it knows, asks the broker
+//! beside an engine for a place, relays the answer and repeats a request only where that is safe.
+//! How requests, answers and records look on the wire is decided by the traits of [`dialect`] and
+//! [`store`].
+
+pub mod answers;
+pub mod brokers;
+pub mod catalog;
+pub mod connections;
+pub mod dialect;
+pub mod dispatch;
+pub mod events;
+pub mod follower;
+pub mod journal;
+pub mod members;
+pub mod metrics;
+pub mod plan;
+pub mod relay;
+pub mod server;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,76 @@
+//! Counters and histograms of a gateway.
+
+use std::time;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+use telemetry::metrics;
+
+/// Instruments of one gateway.
+pub struct GatewayMetrics {
+    registry: metrics::MetricsRegistry,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    answers: Histogram<f64>,
+    first_events: Histogram<f64>,
+    place_waits: Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    /// [`metrics::MetricsError`] when the exporter cannot be built.
+    pub fn new() -> Result<Self, metrics::MetricsError> {
+        let registry = metrics::MetricsRegistry::new()?;
+        let meter = registry.meter();
+        Ok(Self {
+            requests: meter.u64_counter("gateway_requests").build(),
+            refusals: meter.u64_counter("gateway_refusals").build(),
+            retries: meter.u64_counter("gateway_retries").build(),
+            answers: metrics::seconds_histogram(&meter, "gateway_answer_seconds"),
+            first_events: metrics::seconds_histogram(&meter, "gateway_first_event_seconds"),
+            place_waits: metrics::seconds_histogram(&meter, "gateway_place_wait_seconds"),
+            registry,
+        })
+    }
+
+    /// Counts a request.
+    pub fn requested(&self) {
+        self.requests.add(1, &[]);
+    }
+
+    /// Counts an answer of the gateway itself.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request that is sent once more.
+    pub fn retried(&self, reason: &'static str) {
+        self.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the time from a request to the end of its answer.
+    pub fn answered(&self, elapsed: time::Duration) {
+        self.answers.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Records the time from a request to the first event of its stream.
+    pub fn first_event(&self, elapsed: time::Duration) {
+        self.first_events.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Records the wait for a place at an engine.
+    pub fn placed(&self, elapsed: time::Duration) {
+        self.place_waits.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plan.rs
@@ -0,0 +1,104 @@
+//! What is decided about a request before it is sent anywhere.
+
+use std::time;
+
+use bytes::Bytes;
+use http::request;
+use tokio::time::Instant;
+use xxhash_rust::xxh3;
+
+use crate::{answers, catalog, dialect};
+
+/// Least time in which a replica can be expected to do anything.
+const MIN_TIME: time::Duration = time::Duration::from_millis(5);
+
+/// Request with its route and its limits.
+pub struct RequestPlan {
+    pub request: dialect::CallerRequest,
+    pub route: catalog::RouteEntry,
+    pub service: String,
+    pub engine: Option<catalog::EngineLimits>,
+    pub head: request::Parts,
+    pub body: Bytes,
+    pub received_at: Instant,
+    /// When the caller or the operator no longer waits.
+    pub deadline: Instant,
+    /// Declared version of the adapter; 0 if none is declared.
+    pub adapter_version: u32,
+    /// Version of the configuration by which the request is handled.
+    pub configuration: u64,
+}
+
+impl RequestPlan {
+    /// Finds the route and the service of a request.
+    ///
+    /// # Errors
+    /// The answer to a request that the configuration does not allow.
+    pub fn new(
+        request: dialect::CallerRequest,
+        head: request::Parts,
+        body: Bytes,
+        received_at: Instant,
+        catalog: &catalog::ServingCatalog,
+    ) -> Result<Self, answers::OwnAnswer> {
+        let current = catalog
+            .current()
+            .ok_or(answers::OwnAnswer::NO_CONFIGURATION)?;
+        let path = head.uri.path();
+        let route = current
+            .route(&request.host, path)
+            .ok_or(answers::OwnAnswer::NO_ROUTE)?
+            .clone();
+        let hash = xxh3::xxh3_64(request.id.as_bytes());
+        let service = route
+            .service(hash)
+            .ok_or(answers::OwnAnswer::NO_ROUTE)?
+            .to_owned();
+        let engine = current.service(&service).and_then(|service| service.engine);
+        let wait = request
+            .deadline
+            .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let adapter_version = request
+            .generation
+            .as_ref()
+            .and_then(|need| catalog.adapter(&need.model, need.adapter.as_deref()?))
+            .unwrap_or(0);
+        Ok(Self {
+            deadline: received_at + wait,
+            request,
+            route,
+            service,
+            engine,
+            head,
+            body,
+            received_at,
+            adapter_version,
+            configuration: current.version,
+        })
+    }
+
+    /// Time until the deadline.
+    #[must_use]
+    pub fn time_left(&self) -> time::Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether there is time for another attempt.
+    #[must_use]
+    pub fn has_time(&self) -> bool {
+        self.time_left() > MIN_TIME
+    }
+
+    /// Model and adapter, if the request names an adapter.
+    #[must_use]
+    pub fn adapter(&self) -> Option<(&str, &str)> {
+        let need = self.request.generation.as_ref()?;
+        Some((&need.model, need.adapter.as_deref()?))
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        matches!(self.route.kind, catalog::RouteKind::Stream { .. })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,336 @@
+//! Listeners of a gateway: callers, readiness and metrics, with the drain at shutdown.
+//!
+//! `hyper` serves callers in place of `xitca-web`, because it drops a request's work as soon as the
+//! caller closes its connection, also before an answer; an engine would otherwise go on with it.
+
+use std::{convert::Infallible, future, io, net, sync::Arc, time};
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{body::Incoming, server::conn::http1, service};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::{ResultExt, Snafu};
+use telemetry::{events, logs};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task,
+    time::Instant,
+};
+
+use crate::{answers, brokers, dispatch, follower, plan, relay, store};
+
+/// Body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Limits before a configuration is known.
+const FIRST_HEADER_BYTES: usize = 16 * 1024;
+const FIRST_IDLE: time::Duration = time::Duration::from_secs(60);
+/// Least buffer that `hyper` takes.
+const MIN_HEADER_BYTES: usize = 8192;
+/// Time before the forced end in which the last answers must have left.
+const STOP_RESERVE: time::Duration = time::Duration::from_millis(500);
+
+/// Reason why a gateway cannot start.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    #[snafu(display("cannot listen on {address}: {source}; check that the address is free"))]
+    Listen {
+        address: net::SocketAddr,
+        source: io::Error,
+    },
+}
+
+/// Phase of a gateway's life.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum ServingPhase {
+    Serving,
+    /// Not ready; connections are still taken, because the balancer may not know yet.
+    Leaving,
+    /// Only open requests are finished.
+    Closing,
+}
+
+/// Runs a gateway until `stop` is done and its requests are answered.
+///
+/// # Errors
+/// [`GatewayError`] when an address cannot be bound.
+pub async fn serve(
+    dispatcher: Arc<dispatch::Dispatcher>,
+    store: Arc<dyn store::StateStore>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), GatewayError> {
+    let listen = dispatcher.settings.listen;
+    let shutdown = dispatcher.settings.shutdown;
+    let callers = bind(listen.callers).await?;
+    let readiness = bind(listen.readiness).await?;
+    let metrics = bind(listen.metrics).await?;
+    let (phase, phases) = watch::channel(ServingPhase::Serving);
+    let mut background = task::JoinSet::new();
+    background.spawn(follower::follow_published(
+        Arc::clone(&dispatcher),
+        Arc::clone(&store),
+    ));
+    background.spawn(follower::follow_replicas(Arc::clone(&dispatcher), store));
+    background.spawn(brokers::follow(Arc::clone(&dispatcher)));
+    background.spawn(serve_readiness(
+        readiness,
+        Arc::clone(&dispatcher),
+        phases.clone(),
+    ));
+    background.spawn(serve_metrics(metrics, Arc::clone(&dispatcher)));
+    let logger = dispatcher.journal.logger().clone();
+    let accepting = tokio::spawn(accept(callers, Arc::clone(&dispatcher), phases));
+    logs::info(&logger, events::PROCESS_STARTED, "gateway serves");
+    stop.await;
+    let stopped_at = Instant::now();
+    logs::info(&logger, events::PROCESS_DRAINING, "gateway leaves");
+    phase.send_replace(ServingPhase::Leaving);
+    tokio::time::sleep(shutdown.rotation_ms).await;
+    phase.send_replace(ServingPhase::Closing);
+    let limit = stopped_at + shutdown.grace_s.saturating_sub(STOP_RESERVE);
+    if tokio::time::timeout_at(limit, accepting).await.is_err() {
+        logs::warn(
+            &logger,
+            events::DRAIN_DEADLINE_PASSED,
+            "open requests are cut off",
+        );
+    }
+    logs::info(&logger, events::PROCESS_STOPPED, "gateway stops");
+    Ok(())
+}
+
+async fn bind(address: net::SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+/// Takes connections until the phase is closing, then waits for the open ones.
+async fn accept(
+    listener: TcpListener,
+    dispatcher: Arc<dispatch::Dispatcher>,
+    phases: watch::Receiver<ServingPhase>,
+) {
+    let mut connections = task::JoinSet::new();
+    let mut closing = phases.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|phase| *phase == ServingPhase::Closing) => break,
+        };
+        while connections.try_join_next().is_some() {}
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve_caller(stream, Arc::clone(&dispatcher), phases.clone());
+                connections.spawn(connection);
+            }
+            // Out of descriptors: pause instead of spinning.
+            Err(_) => tokio::time::sleep(time::Duration::from_millis(20)).await,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Serves one caller's connection.
+async fn serve_caller(
+    stream: TcpStream,
+    dispatcher: Arc<dispatch::Dispatcher>,
+    phases: watch::Receiver<ServingPhase>,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = dispatcher
+        .catalog
+        .lock()
+        .current()
+        .map(|current| current.limits);
+    let header_bytes = limits.map_or(FIRST_HEADER_BYTES, |limits| limits.header_bytes);
+    // The time for a head also bounds the idle time before it, so the longer one is set.
+    let idle = limits.map_or(FIRST_IDLE, |limits| {
+        limits.idle_timeout.max(limits.header_timeout)
+    });
+    let mut closing = phases.clone();
+    let handler = service::service_fn(move |request| {
+        let dispatcher = Arc::clone(&dispatcher);
+        let is_leaving = *phases.borrow() != ServingPhase::Serving;
+        async move {
+            let mut answer = answer(&dispatcher, request).await;
+            if is_leaving {
+                let close = header::HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES));
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), handler));
+    let is_closing = closing.wait_for(|phase| *phase == ServingPhase::Closing);
+    tokio::select! {
+        // A broken connection ends its requests; their replicas are told by closed connections.
+        _ = connection.as_mut() => return,
+        _ = is_closing => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Answers one request.
+async fn answer(
+    dispatcher: &Arc<dispatch::Dispatcher>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let received_at = Instant::now();
+    dispatcher.metrics.requested();
+    let (head, body) = request.into_parts();
+    if has_ambiguous_length(&head.headers) {
+        return own_answer(dispatcher, "", &answers::OwnAnswer::BAD_REQUEST);
+    }
+    let decoded = match dispatcher.wire.decode(&head) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            let logger = dispatcher.journal.logger();
+            logs::info(logger, events::REQUEST_REFUSED, &error.to_string());
+            return own_answer(dispatcher, "", &answers::OwnAnswer::BAD_REQUEST);
+        }
+    };
+    let id = decoded.id.clone();
+    let limits = dispatcher
+        .catalog
+        .lock()
+        .current()
+        .map(|current| current.limits);
+    let limit = limits.map_or(usize::MAX, |limits| limits.body_bytes);
+    let body = match http_body_util::Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return own_answer(dispatcher, &id, &answers::OwnAnswer::BODY_TOO_LARGE);
+        }
+        Err(_) => return own_answer(dispatcher, &id, &answers::OwnAnswer::BAD_REQUEST),
+    };
+    let plan = {
+        let catalog = dispatcher.catalog.lock();
+        plan::RequestPlan::new(decoded, head, body, received_at, &catalog)
+    };
+    match plan {
+        Ok(plan) => run(dispatcher, plan).await,
+        Err(answer) => own_answer(dispatcher, &id, &answer),
+    }
+}
+
+async fn run(
+    dispatcher: &Arc<dispatch::Dispatcher>,
+    plan: plan::RequestPlan,
+) -> Response<AnswerBody> {
+    match dispatcher.run(&plan).await {
+        dispatch::Outcome::Whole { replica, answer } => {
+            dispatcher
+                .journal
+                .answered(&plan, &replica, answer.head.status.as_u16());
+            dispatcher.metrics.answered(plan.received_at.elapsed());
+            let body = Full::new(answer.body).map_err(|never| match never {});
+            returned(dispatcher, &answer.head, body.boxed_unsync())
+        }
+        dispatch::Outcome::Stream(attempt, arrivals) => {
+            let head = attempt.head.clone();
+            let frames = relay::frames(Arc::clone(dispatcher), plan, *attempt, arrivals);
+            returned(dispatcher, &head, StreamBody::new(frames).boxed_unsync())
+        }
+        dispatch::Outcome::Own(answer) => own_answer(dispatcher, &plan.request.id, &answer),
+    }
+}
+
+/// Replica's answer as the caller gets it.
+fn returned(
+    dispatcher: &dispatch::Dispatcher,
+    head: &http::response::Parts,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = dispatcher.wire.returned(&head.headers);
+    answer
+}
+
+/// Answer of the gateway itself.
+fn own_answer(
+    dispatcher: &dispatch::Dispatcher,
+    request: &str,
+    answer: &answers::OwnAnswer,
+) -> Response<AnswerBody> {
+    dispatcher.journal.refused(request, answer);
+    dispatcher.metrics.refused(answer.reason);
+    let text = format!("{}\n", answer.reason);
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.headers_mut() = dispatcher.wire.own_answer(request, answer.retry_after);
+    response
+}
+
+/// Whether two ways of telling the body's length may disagree, which hides a second request in the
+/// body of the first.
+fn has_ambiguous_length(headers: &http::HeaderMap) -> bool {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let encodings = headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    lengths + encodings > 1
+}
+
+/// Answers whether the gateway takes requests.
+async fn serve_readiness(
+    listener: TcpListener,
+    dispatcher: Arc<dispatch::Dispatcher>,
+    phases: watch::Receiver<ServingPhase>,
+) {
+    serve_plain(listener, move |path| {
+        if !dispatcher.wire.is_readiness(path) {
+            return (StatusCode::NOT_FOUND, String::new());
+        }
+        let is_serving = *phases.borrow() == ServingPhase::Serving;
+        if is_serving && dispatcher.is_ready() {
+            (StatusCode::OK, "ready\n".to_owned())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+        }
+    })
+    .await;
+}
+
+async fn serve_metrics(listener: TcpListener, dispatcher: Arc<dispatch::Dispatcher>) {
+    serve_plain(listener, move |_| {
+        (StatusCode::OK, dispatcher.metrics.render())
+    })
+    .await;
+}
+
+/// Serves short texts by their path.
+async fn serve_plain(
+    listener: TcpListener,
+    text: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            continue;
+        };
+        let text = text.clone();
+        let handler = service::service_fn(move |request: Request<Incoming>| {
+            let (status, body) = text(request.uri().path());
+            let mut response = Response::new(Full::new(Bytes::from(body)));
+            *response.status_mut() = status;
+            future::ready(Ok::<_, Infallible>(response))
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(FIRST_IDLE);
+        let connection = builder.serve_connection(TokioIo::new(stream), handler);
+        tokio::spawn(connection.map(drop));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,60 @@
+//! Settings of a gateway.
+
+use std::{net, time};
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
+
+/// Settings file of a gateway, in YAML.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the instance, for logs.
+    pub instance: String,
+    pub data_centre: String,
+    pub listen: ListenAddresses,
+    /// Address of the platform's store.
+    pub store: net::SocketAddr,
+    /// Port of the broker on each engine's instance.
+    pub broker_port: u16,
+    /// Data centres of the deployment.
+    pub data_centres: Vec<String>,
+    pub retry_budget: RetryShare,
+    pub shutdown: ShutdownLimits,
+}
+
+/// Addresses on which a gateway listens.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListenAddresses {
+    pub callers: net::SocketAddr,
+    pub readiness: net::SocketAddr,
+    pub metrics: net::SocketAddr,
+}
+
+/// Budget for repeats over all gateways.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RetryShare {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats in a window beyond the ratio.
+    pub slack: u32,
+    /// In seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    pub window_s: time::Duration,
+}
+
+/// Times of a shutdown.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ShutdownLimits {
+    /// Time from SIGTERM to the forced end, in seconds.
+    #[serde_as(as = "DurationSeconds<u64>")]
+    pub grace_s: time::Duration,
+    /// Time for which new connections are taken after SIGTERM, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub rotation_ms: time::Duration,
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -38,6 +38,10 @@
     REQUEST_OUTCOME_UNKNOWN = 303, "request_outcome_unknown";
     REQUEST_FAILED = 304, "request_failed";
     CLAIM_FAILED = 305, "claim_failed";
+    REQUEST_SENT = 306, "request_sent";
+    REQUEST_ANSWERED = 307, "request_answered";
+    STREAM_RESUMED = 308, "stream_resumed";
+    REQUEST_ABANDONED = 309, "request_abandoned";
     ADAPTER_LOADED = 401, "adapter_loaded";
     ADAPTER_EVICTED = 402, "adapter_evicted";
     ADAPTER_LOAD_FAILED = 403, "adapter_load_failed";
@@ -47,6 +51,13 @@
     AGENT_SUPERSEDED = 407, "agent_superseded";
     ENDPOINT_LEAVING = 408, "endpoint_leaving";
     STRAGGLER_FOUND = 409, "straggler_found";
+    ADAPTER_ORDERED = 410, "adapter_ordered";
+    ENGINE_REGAINED = 411, "engine_regained";
+    REPLICA_LISTED = 412, "replica_listed";
+    REPLICA_GONE = 413, "replica_gone";
+    BROKER_LOST = 414, "broker_lost";
+    BROKER_REGAINED = 415, "broker_regained";
+    RECORD_UNREADABLE = 416, "record_unreadable";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
@@ -56,6 +67,8 @@
     INSTANCE_LIST_UNAVAILABLE = 507, "instance_list_unavailable";
     SNAPSHOT_FAILED = 508, "snapshot_failed";
     PEER_IMAGE_REFUSED = 509, "peer_image_refused";
+    ADAPTER_VERSION_DECLARED = 510, "adapter_version_declared";
+    SETTINGS_RELOADED = 511, "settings_reloaded";
 }
 
 #[cfg(test)]
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -20,6 +20,18 @@
     slog::Logger::root(drain, fields)
 }
 
+/// Logger that writes JSON lines to standard output without blocking its callers.
+pub fn stdout_logger(role: &'static str, instance: &str, data_centre: &str) -> slog::Logger {
+    let drain = slog_json::Json::default(io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUE_RECORDS)
+        .build()
+        .fuse();
+    let fields = slog::o!("role" => role, "instance" => instance.to_owned(),
+        "data_centre" => data_centre.to_owned());
+    slog::Logger::root(drain, fields)
+}
+
 /// Logger that drops all records.
 pub fn discard_logger() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -20,6 +20,16 @@
             "Stands beside the endpoints of one instance",
             "Example: cowslipdeal agent --settings examples/agent.yaml",
         ))
+        .subcommand(role(
+            "gateway",
+            "Serves callers and sends requests straight to replicas",
+            "Example: cowslipdeal gateway --settings examples/gateway.yaml",
+        ))
+        .subcommand(role(
+            "broker",
+            "Stands beside one engine and gives its orders",
+            "Example: cowslipdeal broker --settings examples/broker.yaml",
+        ))
         .subcommand(check())
         .subcommand(publish())
         .subcommand(status())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod publish;
 pub mod report;
+pub mod roles;
 pub mod run;
 pub mod settings;
 pub mod stand_ins;
--- /dev/null
+++ b/src/roles.rs
@@ -0,0 +1,143 @@
+//! Processes of the system on the platform: gateways and brokers.
+//!
+//! Each runs on one thread, because an instance has a fifth of a core; more threads would only take
+//! turns.
+
+use std::{future, io, net, process, sync::Arc, time};
+
+use broker::{server as broker_server, settings as broker_settings};
+use gateway::{dispatch, metrics, server as gateway_server, settings as gateway_settings};
+use platform_wire::{dialect, orders, store};
+use snafu::{ResultExt, Snafu};
+use telemetry::{events, logs};
+use tokio::{runtime, signal::unix};
+
+use crate::settings;
+
+/// Pause between two looks at a settings file that may change without a signal.
+const SETTINGS_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
+/// Reason why a role ended.
+#[derive(Debug, Snafu)]
+pub enum RoleError {
+    #[snafu(display("{source}"))]
+    Settings { source: settings::SettingsError },
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime { source: io::Error },
+    #[snafu(display("cannot set up the metrics: {source}"))]
+    Metrics {
+        source: telemetry::metrics::MetricsError,
+    },
+    #[snafu(display("{source}"))]
+    Gateway {
+        source: gateway_server::GatewayError,
+    },
+    #[snafu(display("{source}"))]
+    Broker {
+        source: broker::service::BrokerError,
+    },
+}
+
+/// Runs a gateway until SIGTERM and the end of its requests.
+///
+/// # Errors
+/// [`RoleError`] with the reason and its remedy.
+pub fn run_gateway(path: &str) -> Result<process::ExitCode, RoleError> {
+    let settings: gateway_settings::GatewaySettings =
+        settings::read(path).context(SettingsSnafu)?;
+    let logger = logs::stdout_logger("gateway", &settings.instance, &settings.data_centre);
+    runtime()?.block_on(async {
+        let metrics = metrics::GatewayMetrics::new().context(MetricsSnafu)?;
+        let store = Arc::new(store::PlatformStore::new(settings.store));
+        let wire = Arc::new(dialect::PlatformDialect);
+        let watching = watch_settings(path.to_owned(), settings.clone(), logger.clone());
+        tokio::spawn(watching);
+        let incarnation = rand::random();
+        let dispatcher = dispatch::Dispatcher::new(settings, incarnation, wire, logger, metrics);
+        let serving = gateway_server::serve(Arc::new(dispatcher), store, terminated());
+        serving.await.context(GatewaySnafu)
+    })?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+/// Runs a broker until SIGTERM.
+///
+/// # Errors
+/// [`RoleError`] with the reason and its remedy.
+pub fn run_broker(path: &str) -> Result<process::ExitCode, RoleError> {
+    let settings: broker_settings::BrokerSettings = settings::read(path).context(SettingsSnafu)?;
+    let logger = logs::stdout_logger("broker", &settings.instance, &settings.data_centre);
+    runtime()?.block_on(async {
+        tokio::spawn(watch_settings(
+            path.to_owned(),
+            settings.clone(),
+            logger.clone(),
+        ));
+        let Some(engine) = settings.engine else {
+            logs::info(
+                &logger,
+                events::PROCESS_STARTED,
+                "no engine on this instance",
+            );
+            terminated().await;
+            return Ok(());
+        };
+        let engine: net::SocketAddr = engine;
+        let orders = Box::new(orders::LocalEngine::new(engine));
+        let broker = broker_server::EngineBroker::new(settings, orders, logger.clone());
+        logs::info(&logger, events::PROCESS_STARTED, "broker serves");
+        tokio::select! {
+            served = broker_server::serve(Arc::new(broker)) => served.context(BrokerSnafu),
+            () = terminated() => {
+                logs::info(&logger, events::PROCESS_STOPPED, "broker stops");
+                Ok(())
+            }
+        }
+    })?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn runtime() -> Result<runtime::Runtime, RoleError> {
+    runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn terminated() {
+    let signals = (
+        unix::signal(unix::SignalKind::terminate()),
+        unix::signal(unix::SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        return future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Notes changes of a settings file, with or without SIGHUP. Addresses stay as they were at the
+/// start; a file that cannot be read changes nothing.
+async fn watch_settings<T>(path: String, mut held: T, logger: slog::Logger)
+where
+    T: serde::de::DeserializeOwned + PartialEq,
+{
+    let Ok(mut hangup) = unix::signal(unix::SignalKind::hangup()) else {
+        return;
+    };
+    loop {
+        let _ = tokio::time::timeout(SETTINGS_INTERVAL, hangup.recv()).await;
+        match settings::read::<T>(&path) {
+            Ok(found) if found != held => {
+                held = found;
+                let message = "settings changed; they apply from the next start";
+                logs::info(&logger, events::SETTINGS_RELOADED, message);
+            }
+            Ok(_) => {}
+            Err(error) => logs::warn(&logger, events::SETTINGS_RELOADED, &error.to_string()),
+        }
+    }
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -9,7 +9,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{runtime, signal::unix};
 
-use crate::{check, client, demo, load, publish, report, settings, stand_ins};
+use crate::{check, client, demo, load, publish, report, roles, settings, stand_ins};
 
 /// Exit code for a file with faults.
 const FAULTS_EXIT: u8 = 2;
@@ -24,6 +24,8 @@
     #[snafu(display("{source}"))]
     Agent { source: AgentError },
     #[snafu(display("{source}"))]
+    Role { source: roles::RoleError },
+    #[snafu(display("{source}"))]
     Entry { source: EntryError },
     #[snafu(display("{source}"))]
     Demo { source: demo::DemoError },
@@ -49,6 +51,15 @@
 /// # Errors
 /// [`RunError`] with the reason and its remedy.
 pub fn run(matches: &ArgMatches) -> Result<process::ExitCode, RunError> {
+    match matches.subcommand() {
+        Some(("gateway", arguments)) => {
+            return roles::run_gateway(text(arguments, "settings")).context(RoleSnafu);
+        }
+        Some(("broker", arguments)) => {
+            return roles::run_broker(text(arguments, "settings")).context(RoleSnafu);
+        }
+        _ => {}
+    }
     let runtime = runtime::Runtime::new().context(RuntimeSnafu)?;
     match matches.subcommand() {
         Some(("entry", arguments)) => runtime.block_on(run_entry(text(arguments, "settings"))),
