Load the base model into an empty engine

Change: a broker orders the base model when its engine holds none; the entry tells it which one with each heartbeat. Replicas whose address has a later incarnation are left out.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -87,12 +87,14 @@
     pub async fn view(
         &self,
         entry: u64,
+        engine: message::EngineSetup,
         now: units::Timestamp,
     ) -> Result<message::EngineView, CallError> {
         let connection = self.connect(now).await?;
         let released = std::mem::take(&mut self.state.lock().released);
         let call = message::ViewCall {
             entry,
+            engine,
             released: released.clone(),
         };
         let view = connection.view(service::deadline(ANSWER_LIMIT), call).await;
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -32,7 +32,7 @@
     /// The order is being carried out or holds already.
     Accepted,
     /// The engine will not carry it out: another order came between, or it cannot.
-    Refused,
+    Refused { status: u16 },
     /// Another engine has the address.
     OtherEngine,
 }
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -28,15 +28,22 @@
     pub version: u32,
 }
 
+/// Engine with what it is to hold, as the configuration in force at the entry says.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineSetup {
+    pub name: EngineName,
+    pub size: EngineSize,
+    /// Base model.
+    pub model: String,
+}
+
 /// Request for a place at an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlaceCall {
     /// Incarnation of the entry.
     pub entry: u64,
     pub number: u64,
-    pub engine: EngineName,
-    pub size: EngineSize,
-    pub model: String,
+    pub engine: EngineSetup,
     pub adapter: Option<NeededAdapter>,
     /// 0 is the most urgent.
     pub priority: u8,
@@ -75,6 +82,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineView {
     pub incarnation: u64,
+    /// The engine holds its base model.
+    pub has_model: bool,
     /// Name and version of the adapters in slots.
     pub held: Vec<(String, u32)>,
     /// Names of adapters that the engine held recently.
@@ -99,6 +108,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ViewCall {
     pub entry: u64,
+    pub engine: EngineSetup,
     pub released: Vec<u64>,
 }
 
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -182,7 +182,7 @@
                 state.broker.unloaded(name);
                 true
             }
-            (Ok(engine::OrderReply::Accepted), slot_broker::AdapterOrder::Load { .. }) => true,
+            (Ok(engine::OrderReply::Accepted), _) => true,
             _ => {
                 state.broker.order_failed(&order, self.now());
                 false
@@ -201,6 +201,7 @@
             Err(error) => error.to_string(),
         };
         let (event, adapter) = match order {
+            slot_broker::AdapterOrder::LoadModel => (events::MODEL_ORDERED, String::new()),
             slot_broker::AdapterOrder::Load { name, version } => {
                 (events::ADAPTER_ORDERED, format!("{name}@{version}"))
             }
@@ -212,25 +213,26 @@
     }
 
     /// Takes what the entry knows of the engine; false if it means an earlier incarnation.
-    fn adopt(&self, state: &mut EngineState, call: &message::PlaceCall) -> bool {
-        if call.engine.incarnation < state.name.incarnation {
+    fn adopt(&self, state: &mut EngineState, engine: &message::EngineSetup) -> bool {
+        if engine.name.incarnation < state.name.incarnation {
             return false;
         }
-        if call.engine != state.name {
-            let incarnation = call.engine.incarnation;
+        if engine.name != state.name {
+            let incarnation = engine.name.incarnation;
             slog::info!(self.logger, "engine known"; "event" => events::ENGINE_RESTARTED.number,
-                "name" => events::ENGINE_RESTARTED.name, "engine" => &call.engine.id,
+                "name" => events::ENGINE_RESTARTED.name, "engine" => &engine.name.id,
                 "incarnation" => incarnation);
-            state.name = call.engine.clone();
+            state.name = engine.name.clone();
+            self.wake.notify_one();
         }
-        if state.model != call.model {
-            state.model.clone_from(&call.model);
+        if state.model != engine.model {
+            state.model.clone_from(&engine.model);
             self.wake.notify_one();
         }
         state.broker.set_limits(slot_broker::BrokerLimits {
-            adapter_slots: usize::try_from(call.size.adapter_slots).unwrap_or(0),
+            adapter_slots: usize::try_from(engine.size.adapter_slots).unwrap_or(0),
             parallel_loads: self.settings.parallel_loads,
-            batch_slots: usize::try_from(call.size.batch_slots).unwrap_or(1),
+            batch_slots: usize::try_from(engine.size.batch_slots).unwrap_or(1),
             prefill_rate: self.settings.prefill_tokens_per_ms,
         });
         true
@@ -245,7 +247,7 @@
         let waiting = {
             let mut state = self.state.lock();
             state.release(call.entry, &call.released, now);
-            if !self.adopt(&mut state, &call) {
+            if !self.adopt(&mut state, &call.engine) {
                 return message::PlaceReply {
                     answer: message::PlaceAnswer::Refused {
                         reason: message::RefusalReason::OtherEngine,
@@ -319,6 +321,7 @@
         let held = self.broker.held();
         message::EngineView {
             incarnation: self.name.incarnation,
+            has_model: self.broker.has_model(),
             held: held
                 .map(|content| (content.name.clone(), content.version))
                 .collect(),
@@ -340,6 +343,7 @@
         let now = self.now();
         let mut state = self.state.lock();
         state.broker.heard(call.entry, now);
+        self.adopt(&mut state, &call.engine);
         state.release(call.entry, &call.released, now);
         state.view(now)
     }
--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -25,6 +25,9 @@
 /// Added while the broker beside a replica does not answer and the adapter is missing.
 const UNORDERED: time::Duration = time::Duration::from_secs(5);
 
+/// Added for a replica that still has to load the base model.
+const MODEL_LOAD: time::Duration = time::Duration::from_secs(3);
+
 /// Where the adapter of a request is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdapterPlace {
@@ -40,6 +43,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaOption {
     pub adapter: AdapterPlace,
+    /// The replica holds the base model.
+    pub has_model: bool,
     /// A slot is free or its adapter is idle.
     pub has_room: bool,
     /// The broker beside the replica answers.
@@ -61,6 +66,9 @@
         if !self.is_local {
             cost += REMOTE;
         }
+        if !self.has_model {
+            cost += MODEL_LOAD;
+        }
         cost + self.load_cost()
     }
 
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -15,6 +15,10 @@
 const ENTRY_SILENCE: time::Duration = time::Duration::from_millis(2500);
 /// Time after which a load that is not reported is ordered again.
 const LOAD_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Time after which a model that is not reported is ordered again.
+const MODEL_LIMIT: time::Duration = time::Duration::from_secs(3);
+/// Pause for a caller while an engine has no model.
+const MODEL_PAUSE: time::Duration = time::Duration::from_millis(600);
 /// Wait before an adapter whose load was refused is ordered again.
 const LOAD_BACKOFF: time::Duration = time::Duration::from_millis(300);
 
@@ -92,8 +96,15 @@
 /// Order to the engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AdapterOrder {
-    Load { name: String, version: u32 },
-    Unload { name: String },
+    /// Load the base model into an engine that holds none.
+    LoadModel,
+    Load {
+        name: String,
+        version: u32,
+    },
+    Unload {
+        name: String,
+    },
 }
 
 /// What an engine reports of itself.
@@ -101,6 +112,12 @@
 pub struct SlotReport {
     /// Start of the engine; a new one means that all slots are empty.
     pub incarnation: u64,
+    /// The engine holds the base model.
+    pub has_model: bool,
+    /// The engine holds no model at all.
+    pub is_empty: bool,
+    /// An order is being carried out.
+    pub is_busy: bool,
     pub held: Vec<SlotContent>,
     pub coming: Vec<SlotContent>,
     pub queued: u32,
@@ -137,6 +154,10 @@
 pub struct SlotBroker {
     limits: BrokerLimits,
     incarnation: u64,
+    has_model: bool,
+    /// A model may be ordered: the engine is empty and carries out no order.
+    can_load_model: bool,
+    model_ordered_at: Option<units::Timestamp>,
     /// Sorted by name.
     slots: Vec<Slot>,
     loading: Vec<Loading>,
@@ -158,6 +179,9 @@
         Self {
             limits,
             incarnation: 0,
+            has_model: false,
+            can_load_model: false,
+            model_ordered_at: None,
             slots: Vec::new(),
             loading: Vec::new(),
             refused: Vec::new(),
@@ -193,6 +217,12 @@
     /// Asks for a place; `None` while its adapter has to be loaded.
     pub fn ask(&mut self, request: PlaceRequest, now: units::Timestamp) -> Option<PlaceOutcome> {
         self.heard(request.id.entry, now);
+        if !self.has_model {
+            return Some(PlaceOutcome::Refused {
+                reason: PlaceRefusal::Engine,
+                retry_after: MODEL_PAUSE,
+            });
+        }
         let backlog = self.backlog(now);
         if now + backlog >= request.deadline {
             return Some(PlaceOutcome::Refused {
@@ -240,6 +270,8 @@
         if report.incarnation != self.incarnation {
             self.restart(report.incarnation);
         }
+        self.has_model = report.has_model;
+        self.can_load_model = report.is_empty && !report.is_busy;
         self.queued = report.queued;
         self.loading.retain(|loading| {
             let is_coming = report
@@ -292,6 +324,9 @@
 
     /// Next order to the engine, if one is due. An unload makes way for a load that follows.
     pub fn next_order(&mut self, now: units::Timestamp) -> Option<AdapterOrder> {
+        if !self.has_model {
+            return self.model_order(now);
+        }
         if self.loading.len() >= self.limits.parallel_loads {
             return None;
         }
@@ -311,6 +346,23 @@
         })
     }
 
+    fn model_order(&mut self, now: units::Timestamp) -> Option<AdapterOrder> {
+        let is_ordered = self
+            .model_ordered_at
+            .is_some_and(|at| now.since(at) < MODEL_LIMIT);
+        if is_ordered || !self.can_load_model {
+            return None;
+        }
+        self.model_ordered_at = Some(now);
+        Some(AdapterOrder::LoadModel)
+    }
+
+    /// Whether the engine holds the base model.
+    #[must_use]
+    pub fn has_model(&self) -> bool {
+        self.has_model
+    }
+
     /// Notes that the engine refused an order, or that its answer was lost.
     pub fn order_failed(&mut self, order: &AdapterOrder, now: units::Timestamp) {
         let AdapterOrder::Load { name, .. } = order else {
@@ -378,7 +430,7 @@
     /// Whether a load is under way or due.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !self.loading.is_empty() || !self.waiting.is_empty()
+        !self.has_model || !self.loading.is_empty() || !self.waiting.is_empty()
     }
 
     fn grant(&mut self, request: &PlaceRequest, now: units::Timestamp) -> PlaceOutcome {
@@ -533,6 +585,9 @@
 
     fn restart(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
+        self.has_model = false;
+        self.can_load_model = false;
+        self.model_ordered_at = None;
         self.slots.clear();
         self.loading.clear();
         self.refused.clear();
--- a/crates/gateway/src/brokers.rs
+++ b/crates/gateway/src/brokers.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time};
 
+use broker::message;
 use futures::{StreamExt, stream};
 use telemetry::events;
 
-use crate::dispatch;
+use crate::{dispatch, members};
 
 /// Pause between two heartbeats.
 const INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -16,12 +17,15 @@
 pub async fn follow(dispatcher: Arc<dispatch::Dispatcher>) {
     let mut lost: Vec<String> = Vec::new();
     loop {
-        let brokers = dispatcher.members.lock().brokers();
-        let views = stream::iter(brokers).map(|(id, client)| {
+        let views = stream::iter(engines(&dispatcher)).map(|(replica, setup)| {
             let dispatcher = Arc::clone(&dispatcher);
             async move {
-                let view = client.view(dispatcher.incarnation, dispatcher.now()).await;
-                (id, view)
+                let now = dispatcher.now();
+                let view = replica
+                    .broker
+                    .view(dispatcher.incarnation, setup, now)
+                    .await;
+                (replica.id, view)
             }
         });
         let mut views = std::pin::pin!(views.buffer_unordered(PARALLEL));
@@ -50,3 +54,28 @@
         tokio::time::sleep(INTERVAL).await;
     }
 }
+
+/// Engines of all services with what they are to hold.
+fn engines(
+    dispatcher: &dispatch::Dispatcher,
+) -> Vec<(members::ChosenReplica, message::EngineSetup)> {
+    let Some(current) = dispatcher.catalog.lock().current() else {
+        return Vec::new();
+    };
+    let now = dispatcher.now();
+    let members = dispatcher.members.lock();
+    let mut engines = Vec::new();
+    for service in &current.services {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let Some(model) = engine.models.first() else {
+            continue;
+        };
+        for replica in members.of_service(&service.name, now) {
+            let setup = members::engine_setup(&replica, engine, model.clone());
+            engines.push((replica, setup));
+        }
+    }
+    engines
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -75,11 +75,13 @@
 }
 
 /// Memory and places of the engines of a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineLimits {
     pub slots: u32,
     pub kv_tokens: u64,
     pub adapter_slots: u32,
+    /// Base models, in the order of the configuration.
+    pub models: Vec<String>,
 }
 
 /// Service of the configuration.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -261,7 +261,7 @@
         plan: &plan::RequestPlan,
         history: &AttemptHistory,
     ) -> Result<(members::ChosenReplica, Option<u64>, Option<u32>), AttemptError> {
-        let Some(engine) = plan.engine else {
+        let Some(engine) = &plan.engine else {
             let members = self.members.lock();
             let chosen = members.choose_service(&plan.service, &history.excluded, self.now());
             let replica = chosen.ok_or(AttemptError::Refused(answers::OwnAnswer::NO_REPLICA))?;
@@ -293,6 +293,9 @@
                             reason,
                             retry_after,
                         } => {
+                            if reason == message::RefusalReason::OtherEngine {
+                                self.members.lock().set_aside(&replica.id, now);
+                            }
                             let label = answers::refusal_label(reason);
                             self.journal.retried(plan, &replica.id, label, true);
                             refusal = answers::OwnAnswer::no_place(reason, retry_after);
@@ -320,22 +323,14 @@
         &self,
         plan: &plan::RequestPlan,
         replica: &members::ChosenReplica,
-        engine: catalog::EngineLimits,
+        engine: &catalog::EngineLimits,
         number: u64,
     ) -> message::PlaceCall {
         let need = plan.request.generation.clone().unwrap_or_default();
         message::PlaceCall {
             entry: self.incarnation,
             number,
-            engine: message::EngineName {
-                id: replica.id.clone(),
-                incarnation: replica.incarnation,
-            },
-            size: message::EngineSize {
-                adapter_slots: engine.adapter_slots,
-                batch_slots: engine.slots,
-            },
-            model: need.model,
+            engine: members::engine_setup(replica, engine, need.model),
             adapter: need.adapter.map(|name| message::NeededAdapter {
                 name,
                 version: plan.adapter_version,
@@ -374,7 +369,7 @@
             replica: &replica.id,
             time_left: plan.time_left(),
             adapter_version: version,
-            priority: plan.engine.map(|_| plan.route.priority),
+            priority: plan.engine.as_ref().map(|_| plan.route.priority),
             resume_after,
         };
         let mut request = Request::new(Full::new(plan.body.clone()));
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,7 +10,7 @@
 use decisions::{failure_rate, replica_choice, units};
 use xxhash_rust::xxh3;
 
-use crate::{dialect, plan, store};
+use crate::{catalog, dialect, plan, store};
 
 /// Time after an outage in which missing replicas are kept.
 const RETURN_LIMIT: time::Duration = time::Duration::from_millis(2500);
@@ -49,6 +49,8 @@
     pub incarnation: u64,
     pub address: net::SocketAddr,
     pub broker: Arc<client::BrokerClient>,
+    /// Base model that the replica holds.
+    pub model: Option<String>,
     /// The adapter is known to be in a slot.
     pub is_held: bool,
     /// Held version of the adapter, as far as known.
@@ -149,16 +151,14 @@
         ready.count()
     }
 
-    /// Brokers of the replicas of engines, with their ids.
+    /// Replicas of a service, without what concerns a request.
     #[must_use]
-    pub fn brokers(&self) -> Vec<(String, Arc<client::BrokerClient>)> {
-        let engines = self
+    pub fn of_service(&self, service: &str, now: units::Timestamp) -> Vec<ChosenReplica> {
+        let replicas = self
             .replicas
             .iter()
-            .filter(|replica| !replica.record.models.is_empty());
-        engines
-            .map(|replica| (replica.record.id.clone(), Arc::clone(&replica.broker)))
-            .collect()
+            .filter(|replica| replica.record.service == service);
+        replicas.map(|replica| replica.chosen(now)).collect()
     }
 
     /// Largest number of entries that a broker has told.
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Leaves out a replica for a moment whose address has another one now.
+    pub fn set_aside(&mut self, id: &str, now: units::Timestamp) {
+        if let Some(replica) = self.find_mut(id) {
+            replica.unreachable_until = now + UNREACHABLE_LIMIT;
+        }
+    }
+
     /// Takes the load that an answer told.
     pub fn sampled(&mut self, id: &str, sample: dialect::LoadSample, now: units::Timestamp) {
         if let Some(replica) = self.find_mut(id) {
@@ -329,6 +336,7 @@
             replica.record.service == service
                 && !replica.record.is_leaving
                 && !excluded.contains(&replica.record.id)
+                && !self.is_superseded(replica)
         };
         let all: Vec<&Replica> = self.replicas.iter().filter(usable).collect();
         let reachable: Vec<&Replica> = all
@@ -339,6 +347,14 @@
         if reachable.is_empty() { all } else { reachable }
     }
 
+    /// Whether a later replica has the address.
+    fn is_superseded(&self, replica: &Replica) -> bool {
+        self.replicas.iter().any(|other| {
+            other.record.address == replica.record.address
+                && other.record.incarnation > replica.record.incarnation
+        })
+    }
+
     fn option(
         &self,
         replica: &Replica,
@@ -350,6 +366,7 @@
         let adapter = replica.adapter_place(plan, now);
         replica_choice::ReplicaOption {
             adapter,
+            has_model: replica.has_model(plan, now),
             has_room: view.is_none_or(|view| view.room > 0),
             is_ordered: replica.broker.is_reachable(now),
             backlog: replica.backlog(now),
@@ -403,6 +420,7 @@
             incarnation: self.record.incarnation,
             address: self.record.address,
             broker: Arc::clone(&self.broker),
+            model: self.record.models.first().map(|held| held.name.clone()),
             is_held: false,
             version: None,
             cost: time::Duration::ZERO,
@@ -417,6 +435,19 @@
         (is_fresh && known.view.incarnation == self.record.incarnation).then_some(&known.view)
     }
 
+    fn has_model(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> bool {
+        if let Some(view) = self.fresh_view(now) {
+            return view.has_model;
+        }
+        let need = plan.request.generation.as_ref();
+        need.is_none_or(|need| {
+            self.record
+                .models
+                .iter()
+                .any(|held| held.name == need.model)
+        })
+    }
+
     /// Version of the adapter in a slot; `None` if it is not held.
     fn held_version(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> Option<u32> {
         let (model, adapter) = plan.adapter()?;
@@ -482,6 +513,26 @@
     }
 }
 
+/// What an engine is to hold. An engine that holds a model keeps it.
+#[must_use]
+pub fn engine_setup(
+    replica: &ChosenReplica,
+    engine: &catalog::EngineLimits,
+    model: String,
+) -> message::EngineSetup {
+    message::EngineSetup {
+        name: message::EngineName {
+            id: replica.id.clone(),
+            incarnation: replica.incarnation,
+        },
+        size: message::EngineSize {
+            adapter_slots: engine.adapter_slots,
+            batch_slots: engine.slots,
+        },
+        model: replica.model.clone().unwrap_or(model),
+    }
+}
+
 /// Position of each replica in the order of the adapter's hash. The address is hashed, because it
 /// outlives restarts of the replica and with them the adapters on its disk.
 fn ranks(replicas: &[&Replica], plan: &plan::RequestPlan) -> Vec<u32> {
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -54,7 +54,9 @@
             .service(hash)
             .ok_or(answers::OwnAnswer::NO_ROUTE)?
             .to_owned();
-        let engine = current.service(&service).and_then(|service| service.engine);
+        let engine = current
+            .service(&service)
+            .and_then(|service| service.engine.clone());
         let wait = request
             .deadline
             .map_or(route.timeout, |deadline| deadline.min(route.timeout));
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -58,6 +58,7 @@
     BROKER_LOST = 414, "broker_lost";
     BROKER_REGAINED = 415, "broker_regained";
     RECORD_UNREADABLE = 416, "record_unreadable";
+    MODEL_ORDERED = 417, "model_ordered";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
