Count loads of an earlier broker and reset dropped connections

Adapters that the engine reports as coming now take their slots. Test: loads_of_an_earlier_broker_take_their_slots, seen failing.

Connections to replicas are now reset when they are dropped. Test: dropping_a_connection_resets_it.

Cause of refusals at the start of a broker (found by the tests of the whole path): it refused before its engine's first report. Requests now wait for it.

--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -356,6 +356,6 @@
 pub async fn serve(broker: Arc<EngineBroker>) -> Result<(), service::BrokerError> {
     let listen = broker.settings.listen;
     let handler: Arc<dyn service::BrokerHandler> = Arc::clone(&broker) as _;
-    let (_, served) = tokio::join!(broker.run(), service::serve(listen, handler));
+    let ((), served) = tokio::join!(broker.run(), service::serve(listen, handler));
     served
 }
--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -39,16 +39,24 @@
     Cold,
 }
 
+/// Whether an engine can take an adapter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineReadiness {
+    /// It holds the base model, and its broker answers.
+    Ready,
+    /// It still has to load the base model.
+    NoModel,
+    /// The broker beside it does not answer.
+    NoBroker,
+}
+
 /// What is known of a replica for one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaOption {
     pub adapter: AdapterPlace,
-    /// The replica holds the base model.
-    pub has_model: bool,
+    pub readiness: EngineReadiness,
     /// A slot is free or its adapter is idle.
     pub has_room: bool,
-    /// The broker beside the replica answers.
-    pub is_ordered: bool,
     /// Time until the replica would begin another request.
     pub backlog: time::Duration,
     pub is_local: bool,
@@ -66,7 +74,7 @@
         if !self.is_local {
             cost += REMOTE;
         }
-        if !self.has_model {
+        if self.readiness == EngineReadiness::NoModel {
             cost += MODEL_LOAD;
         }
         cost + self.load_cost()
@@ -82,7 +90,7 @@
         if !self.has_room {
             cost += CROWDED;
         }
-        if !self.is_ordered {
+        if self.readiness == EngineReadiness::NoBroker {
             cost += UNORDERED;
         }
         cost
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -93,6 +93,12 @@
     },
 }
 
+/// Refusal while an engine has no model.
+const NO_MODEL: PlaceOutcome = PlaceOutcome::Refused {
+    reason: PlaceRefusal::Engine,
+    retry_after: MODEL_PAUSE,
+};
+
 /// Order to the engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum AdapterOrder {
@@ -154,6 +160,8 @@
 pub struct SlotBroker {
     limits: BrokerLimits,
     incarnation: u64,
+    /// The engine has reported since this broker started.
+    is_known: bool,
     has_model: bool,
     /// A model may be ordered: the engine is empty and carries out no order.
     can_load_model: bool,
@@ -179,6 +187,7 @@
         Self {
             limits,
             incarnation: 0,
+            is_known: false,
             has_model: false,
             can_load_model: false,
             model_ordered_at: None,
@@ -217,11 +226,12 @@
     /// Asks for a place; `None` while its adapter has to be loaded.
     pub fn ask(&mut self, request: PlaceRequest, now: units::Timestamp) -> Option<PlaceOutcome> {
         self.heard(request.id.entry, now);
+        if !self.is_known {
+            self.waiting.push(request);
+            return None;
+        }
         if !self.has_model {
-            return Some(PlaceOutcome::Refused {
-                reason: PlaceRefusal::Engine,
-                retry_after: MODEL_PAUSE,
-            });
+            return Some(NO_MODEL);
         }
         let backlog = self.backlog(now);
         if now + backlog >= request.deadline {
@@ -270,6 +280,7 @@
         if report.incarnation != self.incarnation {
             self.restart(report.incarnation);
         }
+        self.is_known = true;
         self.has_model = report.has_model;
         self.can_load_model = report.is_empty && !report.is_busy;
         self.queued = report.queued;
@@ -281,6 +292,7 @@
             is_coming || now.since(loading.ordered_at) < LOAD_LIMIT
         });
         self.adopt(&report.held, now);
+        self.adopt_coming(&report.coming, now);
         self.decide(now)
     }
 
@@ -290,11 +302,10 @@
         let mut outcomes = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
-            let is_usable = request
-                .adapter
-                .as_ref()
-                .is_none_or(|want| self.is_usable(want));
-            if is_usable {
+            let want = request.adapter.as_ref();
+            if self.is_known && !self.has_model {
+                outcomes.push((request.id, NO_MODEL));
+            } else if self.is_known && want.is_none_or(|want| self.is_usable(want)) {
                 outcomes.push((request.id, self.grant(&request, now)));
             } else if now >= request.deadline {
                 let refused = PlaceOutcome::Refused {
@@ -558,6 +569,22 @@
         }
     }
 
+    /// Counts loads that an earlier broker of this engine has ordered.
+    fn adopt_coming(&mut self, coming: &[SlotContent], now: units::Timestamp) {
+        for content in coming {
+            let is_known = self
+                .loading
+                .iter()
+                .any(|loading| loading.name == content.name);
+            if !is_known {
+                self.loading.push(Loading {
+                    name: content.name.clone(),
+                    ordered_at: now,
+                });
+            }
+        }
+    }
+
     fn places_of(&self, name: &str) -> u32 {
         let places = self
             .places
--- /dev/null
+++ b/crates/decisions/tests/slot_broker.rs
@@ -0,0 +1,259 @@
+//! Adapter slots and places of one engine.
+
+use std::time;
+
+use decisions::{slot_broker::*, units};
+use test_case::test_case;
+
+const LIMITS: BrokerLimits = BrokerLimits {
+    adapter_slots: 3,
+    parallel_loads: 2,
+    batch_slots: 4,
+    prefill_rate: 20.0,
+};
+
+fn at(millis: u64) -> units::Timestamp {
+    units::Timestamp(millis * 1000)
+}
+
+fn held(name: &str, version: u32) -> SlotContent {
+    SlotContent {
+        name: name.to_owned(),
+        version,
+    }
+}
+
+fn report(names: &[&str]) -> SlotReport {
+    SlotReport {
+        incarnation: 7,
+        has_model: true,
+        held: names.iter().map(|name| held(name, 1)).collect(),
+        ..SlotReport::default()
+    }
+}
+
+fn request(number: u64, adapter: &str, version: u32) -> PlaceRequest {
+    PlaceRequest {
+        id: PlaceId { entry: 1, number },
+        adapter: Some(AdapterWant {
+            name: adapter.to_owned(),
+            version,
+        }),
+        priority: 1,
+        prompt_tokens: 2000,
+        deadline: at(4000),
+    }
+}
+
+fn broker(names: &[&str]) -> SlotBroker {
+    let mut broker = SlotBroker::new(LIMITS);
+    broker.observe(&report(names), at(0));
+    broker
+}
+
+fn load(name: &str) -> AdapterOrder {
+    AdapterOrder::Load {
+        name: name.to_owned(),
+        version: 0,
+    }
+}
+
+fn unload(name: &str) -> AdapterOrder {
+    AdapterOrder::Unload {
+        name: name.to_owned(),
+    }
+}
+
+// Guards against an engine that stays useless after a restart: it holds no base model, and refuses
+// all orders for adapters.
+#[test]
+fn an_empty_engine_is_ordered_its_model_once() {
+    let mut broker = SlotBroker::new(LIMITS);
+    let empty = SlotReport {
+        incarnation: 7,
+        is_empty: true,
+        ..SlotReport::default()
+    };
+    broker.observe(&empty, at(0));
+    let refused = broker.ask(request(1, "a", 0), at(0));
+    assert!(matches!(
+        refused,
+        Some(PlaceOutcome::Refused {
+            reason: PlaceRefusal::Engine,
+            ..
+        })
+    ));
+    assert_eq!(broker.next_order(at(0)), Some(AdapterOrder::LoadModel));
+    assert_eq!(broker.next_order(at(100)), None);
+    broker.observe(&empty, at(3500));
+    assert_eq!(broker.next_order(at(3500)), Some(AdapterOrder::LoadModel));
+}
+
+// Guards against refusals by a broker that has just started and has no report of its engine yet.
+#[test]
+fn a_request_waits_for_the_first_report() {
+    let mut broker = SlotBroker::new(LIMITS);
+    assert_eq!(broker.ask(request(1, "a", 0), at(0)), None);
+    assert_eq!(broker.ask(request(2, "b", 0), at(0)), None);
+    let outcomes = broker.observe(&report(&["a"]), at(5));
+    let id = PlaceId {
+        entry: 1,
+        number: 1,
+    };
+    assert_eq!(outcomes, [(id, PlaceOutcome::Granted { version: Some(1) })]);
+    assert_eq!(broker.next_order(at(5)), Some(load("b")));
+}
+
+// Guards against a model load into an engine that holds another one or carries out an order, which
+// would take more memory than the engine has.
+#[test_case(false, false; "another model is held")]
+#[test_case(true, true; "an order is being carried out")]
+fn no_model_is_ordered(is_empty: bool, is_busy: bool) {
+    let mut broker = SlotBroker::new(LIMITS);
+    let report = SlotReport {
+        incarnation: 7,
+        is_empty,
+        is_busy,
+        ..SlotReport::default()
+    };
+    broker.observe(&report, at(0));
+    assert_eq!(broker.next_order(at(0)), None);
+}
+
+// Guards against a load beyond the slots after a broker was killed while its loads were under way:
+// the engine would crash.
+#[test]
+fn loads_of_an_earlier_broker_take_their_slots() {
+    let mut broker = SlotBroker::new(LIMITS);
+    let mut first = report(&["a", "b"]);
+    first.coming.push(held("c", 1));
+    broker.observe(&first, at(0));
+    assert_eq!(broker.ask(request(1, "d", 0), at(0)), None);
+    let order = broker.next_order(at(0));
+    assert!(
+        matches!(order, Some(AdapterOrder::Unload { .. })),
+        "{order:?}"
+    );
+}
+
+// Guards against the eviction of an adapter beneath a request.
+#[test]
+fn an_adapter_with_a_place_is_not_evicted() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name) in [(1, "a"), (2, "b"), (3, "c")] {
+        let granted = broker.ask(request(number, name, 0), at(0));
+        assert_eq!(granted, Some(PlaceOutcome::Granted { version: Some(1) }));
+    }
+    let refused = broker.ask(request(4, "d", 0), at(0));
+    assert!(matches!(
+        refused,
+        Some(PlaceOutcome::Refused {
+            reason: PlaceRefusal::Slots,
+            ..
+        })
+    ));
+    broker.release(
+        PlaceId {
+            entry: 1,
+            number: 2,
+        },
+        at(10),
+    );
+    assert_eq!(broker.ask(request(5, "d", 0), at(10)), None);
+    assert_eq!(broker.next_order(at(10)), Some(unload("b")));
+    broker.unloaded("b");
+    assert_eq!(broker.next_order(at(10)), Some(load("d")));
+    assert_eq!(broker.next_order(at(10)), None);
+}
+
+// Guards against an adapter that makes way although others have been idle for longer.
+#[test]
+fn the_adapter_idle_for_longest_makes_way() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name, time) in [(1, "b", 10), (2, "c", 20), (3, "a", 30)] {
+        broker.ask(request(number, name, 0), at(time));
+        broker.release(PlaceId { entry: 1, number }, at(time + 5));
+    }
+    assert_eq!(broker.ask(request(4, "d", 0), at(40)), None);
+    assert_eq!(broker.next_order(at(40)), Some(unload("b")));
+}
+
+// Guards against a request that begins on an older version than declared.
+#[test]
+fn a_newer_version_replaces_the_held_one_first() {
+    let mut broker = broker(&["a"]);
+    assert_eq!(broker.ask(request(1, "a", 2), at(0)), None);
+    let order = AdapterOrder::Load {
+        name: "a".to_owned(),
+        version: 2,
+    };
+    assert_eq!(broker.next_order(at(0)), Some(order));
+    assert!(broker.observe(&report(&["a"]), at(40)).is_empty());
+    let mut loaded = report(&[]);
+    loaded.held.push(held("a", 2));
+    let outcomes = broker.observe(&loaded, at(300));
+    let id = PlaceId {
+        entry: 1,
+        number: 1,
+    };
+    assert_eq!(outcomes, [(id, PlaceOutcome::Granted { version: Some(2) })]);
+}
+
+// Guards against slots that stay pinned by an entry that was killed.
+#[test]
+fn places_of_a_silent_entry_are_released() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name) in [(1, "a"), (2, "b"), (3, "c")] {
+        broker.ask(request(number, name, 0), at(0));
+    }
+    assert_eq!(broker.room(), 0);
+    broker.heard(2, at(3000));
+    broker.decide(at(3000));
+    assert_eq!(broker.room(), 3);
+    assert_eq!(broker.entries(at(3000)), 1);
+}
+
+// Guards against requests that queue at an engine until their callers have left.
+#[test]
+fn a_request_behind_more_prompts_than_it_can_wait_for_is_refused() {
+    let mut broker = broker(&["a"]);
+    let mut granted = 0;
+    for number in 0..200 {
+        match broker.ask(request(number, "a", 0), at(0)) {
+            Some(PlaceOutcome::Granted { .. }) => granted += 1,
+            Some(PlaceOutcome::Refused {
+                reason,
+                retry_after,
+            }) => {
+                assert_eq!(reason, PlaceRefusal::Backlog);
+                assert!(retry_after > time::Duration::from_secs(1));
+            }
+            None => panic!("the adapter is held"),
+        }
+    }
+    // 2,000 tokens take 100 ms, and the requests can wait 4 s.
+    assert!((30..=41).contains(&granted), "{granted}");
+}
+
+// Guards against a waiting request that is never answered because its load fails.
+#[test]
+fn a_wait_ends_at_its_deadline() {
+    let mut broker = broker(&["b"]);
+    assert_eq!(broker.ask(request(1, "a", 0), at(0)), None);
+    let order = broker.next_order(at(0)).unwrap();
+    broker.order_failed(&order, at(0));
+    assert_eq!(broker.next_order(at(100)), None);
+    assert_eq!(broker.next_order(at(400)), Some(load("a")));
+    broker.heard(1, at(3999));
+    let outcomes = broker.observe(&report(&["b"]), at(4000));
+    assert!(matches!(
+        outcomes.as_slice(),
+        [(
+            _,
+            PlaceOutcome::Refused {
+                reason: PlaceRefusal::Late,
+                ..
+            }
+        )]
+    ));
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -206,5 +206,8 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&probes)?;
+    // Closing resets the connection, so that a request that is still held up on the way to a
+    // frozen or partitioned replica is lost with it instead of running after its caller has left.
+    socket.set_linger(Some(time::Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_LIMIT))
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -19,7 +19,6 @@
     }
 
     /// Logger for records that concern no request.
-    #[must_use]
     pub fn logger(&self) -> &slog::Logger {
         &self.logger
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -366,9 +366,8 @@
         let adapter = replica.adapter_place(plan, now);
         replica_choice::ReplicaOption {
             adapter,
-            has_model: replica.has_model(plan, now),
+            readiness: replica.readiness(plan, now),
             has_room: view.is_none_or(|view| view.room > 0),
-            is_ordered: replica.broker.is_reachable(now),
             backlog: replica.backlog(now),
             is_local: replica.record.data_centre == self.data_centre,
             failures: replica.failures.part(now),
@@ -435,6 +434,20 @@
         (is_fresh && known.view.incarnation == self.record.incarnation).then_some(&known.view)
     }
 
+    fn readiness(
+        &self,
+        plan: &plan::RequestPlan,
+        now: units::Timestamp,
+    ) -> replica_choice::EngineReadiness {
+        if !self.broker.is_reachable(now) {
+            replica_choice::EngineReadiness::NoBroker
+        } else if self.has_model(plan, now) {
+            replica_choice::EngineReadiness::Ready
+        } else {
+            replica_choice::EngineReadiness::NoModel
+        }
+    }
+
     fn has_model(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> bool {
         if let Some(view) = self.fresh_view(now) {
             return view.has_model;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,7 +27,7 @@
 
 /// Limits before a configuration is known.
 const FIRST_HEADER_BYTES: usize = 16 * 1024;
-const FIRST_IDLE: time::Duration = time::Duration::from_secs(60);
+const FIRST_IDLE: time::Duration = time::Duration::from_mins(1);
 /// Least buffer that `hyper` takes.
 const MIN_HEADER_BYTES: usize = 8192;
 /// Time before the forced end in which the last answers must have left.
