--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -9,8 +9,9 @@
 
 use crate::{catalog, dispatch, members, store};
 
-/// Pause between two reads of replicas; a replica that leaves is known after one more.
-const REPLICA_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Part of the time in which a leaving replica must be left alone that passes between two reads of
+/// replicas; the rest is for a slow answer of the store. Each call to the store has its price.
+const REPLICA_INTERVAL_PART: f64 = 0.65;
 /// Pause between two reads of the configuration, so that a burst of changes is read at once.
 const PUBLISHED_INTERVAL: time::Duration = time::Duration::from_millis(120);
 /// First and longest pause after a failure.
@@ -130,6 +131,7 @@
 ) {
     let mut from = None;
     let mut outage = StoreOutage::new("replicas");
+    let interval = dispatcher.settings.leave_ms.mul_f64(REPLICA_INTERVAL_PART);
     loop {
         let logger = dispatcher.journal.logger();
         match store.replicas(from).await {
@@ -144,7 +146,7 @@
                     changes
                 };
                 note(&dispatcher, &changes);
-                tokio::time::sleep(REPLICA_INTERVAL).await;
+                tokio::time::sleep(interval).await;
             }
             Err(store::StoreError::Deleted) => from = None,
             Err(error) => outage.failed(&error, logger).await,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -6,6 +6,15 @@
 
 use crate::{answers, members, plan};
 
+/// Times of a stream's events.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StreamPace {
+    /// Time from the request to the first event.
+    pub first: time::Duration,
+    /// Longest pause between two events.
+    pub longest_gap: time::Duration,
+}
+
 /// Writer of the records.
 pub struct RequestJournal {
     logger: slog::Logger,
@@ -68,10 +77,18 @@
     }
 
     /// A replica's answer reached its end.
-    pub fn answered(&self, plan: &plan::RequestPlan, replica: &str, status: u16) {
+    pub fn answered(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &str,
+        status: u16,
+        pace: Option<StreamPace>,
+    ) {
         slog::info!(self.logger, "answered";
             "event" => events::REQUEST_ANSWERED.number, "name" => events::REQUEST_ANSWERED.name,
             "request" => &plan.request.id, "replica" => replica, "status" => status,
+            "first_event_ms" => pace.map(|pace| millis(pace.first)),
+            "longest_gap_ms" => pace.map(|pace| millis(pace.longest_gap)),
             "elapsed_ms" => millis(plan.received_at.elapsed()));
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::{catalog, dispatch, events, plan};
+use crate::{catalog, dispatch, events, journal, plan};
 
 /// Time after the deadline in which the end of a stream may still arrive.
 const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
@@ -24,7 +24,8 @@
     attempt: Option<dispatch::OpenAttempt>,
     splitter: events::EventSplitter,
     arrivals: u32,
-    has_event: bool,
+    pace: journal::StreamPace,
+    event_at: Option<Instant>,
     is_ended: bool,
 }
 
@@ -57,7 +58,8 @@
         attempt: Some(attempt),
         splitter: events::EventSplitter::default(),
         arrivals,
-        has_event: false,
+        pace: journal::StreamPace::default(),
+        event_at: None,
         is_ended: false,
     };
     stream::unfold(relay, |mut relay| async move {
@@ -109,11 +111,14 @@
     }
 
     fn note_event(&mut self) {
-        if !self.has_event {
-            self.has_event = true;
-            let elapsed = self.plan.received_at.elapsed();
-            self.dispatcher.metrics.first_event(elapsed);
-        }
+        let now = Instant::now();
+        let Some(earlier) = self.event_at.replace(now) else {
+            self.pace.first = now.saturating_duration_since(self.plan.received_at);
+            self.dispatcher.metrics.first_event(self.pace.first);
+            return;
+        };
+        let gap = now.saturating_duration_since(earlier);
+        self.pace.longest_gap = self.pace.longest_gap.max(gap);
     }
 
     fn finish(&mut self) {
@@ -121,13 +126,12 @@
         let Some(attempt) = self.attempt.take() else {
             return;
         };
-        let replica = &attempt.replica.id;
-        self.dispatcher
-            .journal
-            .answered(&self.plan, replica, attempt.head.status.as_u16());
-        self.dispatcher
-            .metrics
-            .answered(self.plan.received_at.elapsed());
+        let status = attempt.head.status.as_u16();
+        let pace = Some(self.pace);
+        let journal = &self.dispatcher.journal;
+        journal.answered(&self.plan, &attempt.replica.id, status, pace);
+        let elapsed = self.plan.received_at.elapsed();
+        self.dispatcher.metrics.answered(elapsed);
         let head: response::Parts = attempt.head;
         self.dispatcher.keep(attempt.connection, &head);
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -229,9 +229,8 @@
 ) -> Response<AnswerBody> {
     match dispatcher.run(&plan).await {
         dispatch::Outcome::Whole { replica, answer } => {
-            dispatcher
-                .journal
-                .answered(&plan, &replica, answer.head.status.as_u16());
+            let status = answer.head.status.as_u16();
+            dispatcher.journal.answered(&plan, &replica, status, None);
             dispatcher.metrics.answered(plan.received_at.elapsed());
             let body = Full::new(answer.body).map_err(|never| match never {});
             returned(dispatcher, &answer.head, body.boxed_unsync())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 
 /// Settings file of a gateway, in YAML.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
@@ -19,6 +20,9 @@
     pub broker_port: u16,
     /// Data centres of the deployment.
     pub data_centres: Vec<String>,
+    /// Time in which a replica that leaves must get no more requests, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub leave_ms: time::Duration,
     pub retry_budget: RetryShare,
     pub shutdown: ShutdownLimits,
 }
