Keep long answers on replicas of their own and order prompts by objective

Change: answers longer than the mean go to a third of the replicas first, others to the rest, unless that costs 150 ms or more. Brokers hand an engine at most 8 unstarted requests and let those pass that can still be on time; the backlog is measured from the engine's reports instead of an assumed speed. A connection without a request no longer holds up a shutdown.

--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -47,8 +47,9 @@
     pub adapter: Option<NeededAdapter>,
     /// 0 is the most urgent.
     pub priority: u8,
-    pub prompt_tokens: u32,
-    /// Longest wait for the adapter.
+    /// Time by which the request must begin to be on time.
+    pub objective: time::Duration,
+    /// Longest wait for the place.
     pub wait: time::Duration,
     /// Places that the entry gives up.
     pub released: Vec<u64>,
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -17,7 +17,7 @@
 use crate::{engine, message, service, settings};
 
 /// Reports while a load is awaited.
-const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(35);
+const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Reports while the engine only serves.
 const CALM_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Reports without an answer after which waiting requests are refused.
@@ -64,7 +64,7 @@
             adapter_slots: 0,
             parallel_loads: settings.parallel_loads,
             batch_slots: 1,
-            prefill_rate: settings.prefill_tokens_per_ms,
+            unstarted: settings.unstarted,
         };
         let state = EngineState {
             broker: slot_broker::SlotBroker::new(limits),
@@ -233,7 +233,7 @@
             adapter_slots: usize::try_from(engine.size.adapter_slots).unwrap_or(0),
             parallel_loads: self.settings.parallel_loads,
             batch_slots: usize::try_from(engine.size.batch_slots).unwrap_or(1),
-            prefill_rate: self.settings.prefill_tokens_per_ms,
+            unstarted: self.settings.unstarted,
         });
         true
     }
@@ -263,7 +263,7 @@
                     version: adapter.version,
                 }),
                 priority: call.priority,
-                prompt_tokens: call.prompt_tokens,
+                objective: now + call.objective,
                 deadline: now + call.wait,
             };
             if let Some(outcome) = state.broker.ask(request, now) {
--- a/crates/broker/src/settings.rs
+++ b/crates/broker/src/settings.rs
@@ -17,16 +17,16 @@
     pub engine: Option<net::SocketAddr>,
     /// Address of the metrics.
     pub metrics: Option<net::SocketAddr>,
-    /// Prompt tokens that the engine reads in a millisecond.
-    #[serde(default = "default_prefill_rate")]
-    pub prefill_tokens_per_ms: f64,
+    /// Requests without an event that the engine may have.
+    #[serde(default = "default_unstarted")]
+    pub unstarted: u32,
     /// Loads under way at the same time.
     #[serde(default = "default_parallel_loads")]
     pub parallel_loads: usize,
 }
 
-fn default_prefill_rate() -> f64 {
-    20.0
+fn default_unstarted() -> u32 {
+    8
 }
 
 fn default_parallel_loads() -> usize {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
 pub mod admission;
+pub mod answer_length;
 pub mod attempt_budget;
 pub mod backlog;
 pub mod batch_reserve;
@@ -32,6 +33,7 @@
 mod service_time;
 pub mod slot_broker;
 pub mod slots;
+pub mod start_times;
 pub mod stragglers;
 pub mod units;
 pub mod wait_routing;
--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -50,11 +50,35 @@
     NoBroker,
 }
 
+/// Whether a replica is among those for answers of the request's length.
+///
+/// An engine reads prompts between the tokens of its running requests, so every prompt delays the
+/// next event of a long answer. Long answers therefore get replicas of their own as long as those
+/// have room. Load: short answers with long prompts beside a few long streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LengthShare {
+    Own,
+    Other,
+}
+
+/// Whether the replica at a position of `count`, in an order that all entries share, serves long
+/// answers first.
+#[must_use]
+pub fn serves_long(position: usize, count: usize) -> bool {
+    position < count.div_ceil(LONG_PART)
+}
+
+/// One of so many replicas serves long answers first.
+const LONG_PART: usize = 3;
+/// Added for a replica that serves answers of the other length first.
+const OTHER_LENGTH: time::Duration = time::Duration::from_millis(150);
+
 /// What is known of a replica for one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaOption {
     pub adapter: AdapterPlace,
     pub readiness: EngineReadiness,
+    pub share: LengthShare,
     /// A slot is free or its adapter is idle.
     pub has_room: bool,
     /// Time until the replica would begin another request.
@@ -74,6 +98,9 @@
         if !self.is_local {
             cost += REMOTE;
         }
+        if self.share == LengthShare::Other {
+            cost += OTHER_LENGTH;
+        }
         if self.readiness == EngineReadiness::NoModel {
             cost += MODEL_LOAD;
         }
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -4,10 +4,15 @@
 //! adapter in its slot until it is released. Loads are ordered one by one, the adapter of the most
 //! urgent waiting request first; the least recently used adapter without a place makes way.
 //! Load: entries that compete for the few slots of an engine, with stale views of each other.
+//!
+//! The engine gets a prompt only when it has begun almost all earlier ones, so that the order of the
+//! rest is decided here: requests that can still begin within their objective come first, those that
+//! cannot wait for a quiet moment. Load: a burst beyond what the engine reads, under which a queue
+//! in order of arrival would make every request late.
 
 use std::{collections::VecDeque, time};
 
-use crate::units;
+use crate::{start_times, units};
 
 /// Adapters that the engine is assumed to load quickly again.
 const RECENT_ADAPTERS: usize = 30;
@@ -30,8 +35,8 @@
     pub parallel_loads: usize,
     /// Requests that run at the same time.
     pub batch_slots: usize,
-    /// Prompt tokens that the engine reads in a millisecond.
-    pub prefill_rate: f64,
+    /// Requests without an event that the engine may have.
+    pub unstarted: u32,
 }
 
 /// Place of one request.
@@ -64,7 +69,8 @@
     pub adapter: Option<AdapterWant>,
     /// 0 is the most urgent.
     pub priority: u8,
-    pub prompt_tokens: u32,
+    /// The request is on time if it begins by then.
+    pub objective: units::Timestamp,
     /// The request is of no use to its caller if it begins later.
     pub deadline: units::Timestamp,
 }
@@ -126,8 +132,8 @@
     pub is_busy: bool,
     pub held: Vec<SlotContent>,
     pub coming: Vec<SlotContent>,
-    pub queued: u32,
-    pub running: u32,
+    /// Requests that have made no event yet.
+    pub unstarted: u32,
 }
 
 #[derive(Debug)]
@@ -176,8 +182,7 @@
     places: Vec<Place>,
     recent: VecDeque<String>,
     entries: Vec<Entry>,
-    prefilled_at: units::Timestamp,
-    queued: u32,
+    starts: start_times::StartTimes,
 }
 
 impl SlotBroker {
@@ -198,8 +203,7 @@
             places: Vec::new(),
             recent: VecDeque::new(),
             entries: Vec::new(),
-            prefilled_at: units::Timestamp::default(),
-            queued: 0,
+            starts: start_times::StartTimes::default(),
         }
     }
 
@@ -241,10 +245,10 @@
             });
         }
         let Some(want) = &request.adapter else {
-            return Some(self.grant(&request, now));
+            return self.grant_or_wait(request, now);
         };
         if self.is_usable(want) {
-            return Some(self.grant(&request, now));
+            return self.grant_or_wait(request, now);
         }
         if !self.can_make_room(want) {
             return Some(PlaceOutcome::Refused {
@@ -283,7 +287,7 @@
         self.is_known = true;
         self.has_model = report.has_model;
         self.can_load_model = report.is_empty && !report.is_busy;
-        self.queued = report.queued;
+        self.starts.observe(report.unstarted, now);
         self.loading.retain(|loading| {
             let is_coming = report
                 .coming
@@ -300,19 +304,16 @@
     pub fn decide(&mut self, now: units::Timestamp) -> Vec<(PlaceId, PlaceOutcome)> {
         self.expire(now);
         let mut outcomes = Vec::new();
-        let waiting = std::mem::take(&mut self.waiting);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|request| self.order(request, now));
         for request in waiting {
-            let want = request.adapter.as_ref();
             if self.is_known && !self.has_model {
                 outcomes.push((request.id, NO_MODEL));
-            } else if self.is_known && want.is_none_or(|want| self.is_usable(want)) {
+            } else if self.is_startable(&request) && self.is_free() {
                 outcomes.push((request.id, self.grant(&request, now)));
             } else if now >= request.deadline {
-                let refused = PlaceOutcome::Refused {
-                    reason: PlaceRefusal::Late,
-                    retry_after: LOAD_BACKOFF,
-                };
-                outcomes.push((request.id, refused));
+                let is_startable = self.is_startable(&request);
+                outcomes.push((request.id, self.late(is_startable, now)));
             } else {
                 self.waiting.push(request);
             }
@@ -392,15 +393,18 @@
         self.remember(name);
     }
 
-    /// Time until the engine would begin another prompt.
+    /// Time until the engine would begin another prompt that can be on time.
     #[must_use]
     pub fn backlog(&self, now: units::Timestamp) -> time::Duration {
-        let ahead = self.prefilled_at.since(now);
-        if self.places.len() < self.limits.batch_slots {
-            return ahead;
-        }
-        let beyond = self.places.len() - self.limits.batch_slots + 1;
-        ahead + time::Duration::from_millis(20) * u32::try_from(beyond).unwrap_or(u32::MAX)
+        let timely = self
+            .waiting
+            .iter()
+            .filter(|request| !self.is_late(request, now));
+        let timely = u32::try_from(timely.count()).unwrap_or(u32::MAX);
+        let beyond = (self.places.len() + 1).saturating_sub(self.limits.batch_slots);
+        let beyond = u32::try_from(beyond).unwrap_or(u32::MAX);
+        let ahead = self.starts.unstarted().saturating_add(timely);
+        self.starts.interval() * ahead.saturating_add(beyond)
     }
 
     /// Adapters in slots, sorted by name.
@@ -438,16 +442,65 @@
         heard.count()
     }
 
-    /// Whether a load is under way or due.
+    /// Whether a load or a prompt is under way or due.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !self.has_model || !self.loading.is_empty() || !self.waiting.is_empty()
+        let is_loading = !self.has_model || !self.loading.is_empty();
+        is_loading || !self.waiting.is_empty() || self.starts.unstarted() > 0
+    }
+
+    /// Grants a place if the engine is free and nobody waits for it.
+    fn grant_or_wait(
+        &mut self,
+        request: PlaceRequest,
+        now: units::Timestamp,
+    ) -> Option<PlaceOutcome> {
+        let is_first = !self.waiting.iter().any(|held| self.is_startable(held));
+        if is_first && self.is_free() {
+            return Some(self.grant(&request, now));
+        }
+        self.waiting.push(request);
+        None
+    }
+
+    /// Position of a waiting request: those that can be on time first, by urgency and objective.
+    fn order(&self, request: &PlaceRequest, now: units::Timestamp) -> (bool, u8, units::Timestamp) {
+        let is_late = self.is_late(request, now);
+        (is_late, request.priority, request.objective)
+    }
+
+    /// Whether a request cannot begin within its objective any more.
+    fn is_late(&self, request: &PlaceRequest, now: units::Timestamp) -> bool {
+        now + self.starts.interval() > request.objective
+    }
+
+    /// Whether the engine can begin another prompt.
+    fn is_free(&self) -> bool {
+        let is_reading = self.starts.unstarted() >= self.limits.unstarted;
+        !is_reading && self.places.len() < self.limits.batch_slots
+    }
+
+    /// Whether all that a request needs is at the engine.
+    fn is_startable(&self, request: &PlaceRequest) -> bool {
+        let want = request.adapter.as_ref();
+        self.is_known && want.is_none_or(|want| self.is_usable(want))
+    }
+
+    /// Refusal of a request that has waited for as long as it can.
+    fn late(&self, is_startable: bool, now: units::Timestamp) -> PlaceOutcome {
+        let (reason, retry_after) = if is_startable {
+            (PlaceRefusal::Backlog, self.backlog(now))
+        } else {
+            (PlaceRefusal::Late, LOAD_BACKOFF)
+        };
+        PlaceOutcome::Refused {
+            reason,
+            retry_after,
+        }
     }
 
     fn grant(&mut self, request: &PlaceRequest, now: units::Timestamp) -> PlaceOutcome {
-        let millis = f64::from(request.prompt_tokens) / self.limits.prefill_rate.max(0.1);
-        let prefill = time::Duration::from_secs_f64(millis / 1000.0);
-        self.prefilled_at = self.prefilled_at.max(now) + prefill;
+        self.starts.granted();
         let mut version = None;
         if let Some(want) = &request.adapter
             && let Ok(position) = self.find(&want.name)
@@ -476,10 +529,11 @@
                 .refused
                 .iter()
                 .any(|(name, until)| *name == want.name && now < *until);
-            (!is_loading && !is_refused).then_some((request.priority, request.deadline, want))
+            let is_due = !is_loading && !is_refused && !self.is_usable(want);
+            is_due.then_some((self.order(request, now), want))
         });
-        let first = due.min_by_key(|(priority, deadline, _)| (*priority, *deadline));
-        first.map(|(_, _, want)| want.clone())
+        let first = due.min_by_key(|(order, _)| *order);
+        first.map(|(_, want)| want.clone())
     }
 
     fn evictable(&self) -> Option<String> {
@@ -620,7 +674,7 @@
         self.refused.clear();
         self.places.clear();
         self.recent.clear();
-        self.prefilled_at = units::Timestamp::default();
+        self.starts = start_times::StartTimes::default();
     }
 
     fn remember(&mut self, name: &str) {
--- /dev/null
+++ b/crates/decisions/tests/replica_choice.rs
@@ -0,0 +1,120 @@
+//! Choice of a replica for a request.
+
+use std::time;
+
+use decisions::{
+    answer_length::AnswerLengths, failure_rate::FailureRate, replica_choice::*, units,
+};
+use test_case::test_case;
+
+const PLAIN: ReplicaOption = ReplicaOption {
+    adapter: AdapterPlace::Held,
+    readiness: EngineReadiness::Ready,
+    share: LengthShare::Own,
+    has_room: true,
+    backlog: time::Duration::ZERO,
+    is_local: true,
+    failures: 0.0,
+    rank: 0,
+};
+
+fn waiting(millis: u64) -> ReplicaOption {
+    ReplicaOption {
+        backlog: time::Duration::from_millis(millis),
+        ..PLAIN
+    }
+}
+
+fn cold(rank: u32) -> ReplicaOption {
+    ReplicaOption {
+        adapter: AdapterPlace::Cold,
+        rank,
+        ..PLAIN
+    }
+}
+
+// Guards against a load where a short wait would do, and against a long wait where a load would.
+#[test_case(100, 0; "a holder with a short queue")]
+#[test_case(900, 1; "a holder with a long queue")]
+fn a_load_is_weighed_against_the_wait(backlog: u64, expected: usize) {
+    assert_eq!(choose(&[waiting(backlog), cold(0)]), Some(expected));
+}
+
+// Guards against an adapter that each entry sends to another replica.
+#[test]
+fn a_cold_adapter_goes_to_its_first_rank() {
+    assert_eq!(choose(&[cold(2), cold(0), cold(1)]), Some(1));
+}
+
+// Guards against a choice that each of these must overrule.
+#[test_case(ReplicaOption { has_room: false, ..cold(0) }; "all slots in use")]
+#[test_case(ReplicaOption { readiness: EngineReadiness::NoModel, ..cold(0) }; "no base model")]
+#[test_case(ReplicaOption { readiness: EngineReadiness::NoBroker, ..cold(0) }; "nobody to order")]
+#[test_case(ReplicaOption { failures: 0.5, ..cold(0) }; "half of the requests fail")]
+fn a_better_rank_does_not_outweigh(option: ReplicaOption) {
+    assert_eq!(choose(&[option, cold(5)]), Some(1));
+}
+
+// Guards against long streams whose pauses grow with every prompt beside them, and against
+// replicas that stay idle while others queue.
+#[test_case(0, 0)]
+#[test_case(400, 1)]
+fn long_answers_stay_apart_until_that_costs_more(backlog: u64, expected: usize) {
+    let other = ReplicaOption {
+        share: LengthShare::Other,
+        ..PLAIN
+    };
+    assert_eq!(choose(&[waiting(backlog), other]), Some(expected));
+    let long = (0..18)
+        .filter(|position| serves_long(*position, 18))
+        .count();
+    assert_eq!(long, 6);
+    assert!(serves_long(0, 1));
+}
+
+#[test]
+fn answers_above_the_mean_are_long() {
+    let mut lengths = AnswerLengths::default();
+    for _ in 0..50 {
+        lengths.is_long(24);
+    }
+    assert!(lengths.is_long(170));
+    assert!(!lengths.is_long(24));
+}
+
+// Guards against a plain service's replica that queues while another one is free.
+#[test]
+fn a_free_remote_replica_is_better_than_a_local_queue() {
+    let option = |outstanding, is_local| ServiceOption {
+        outstanding,
+        slots: 6,
+        pace: 1.0,
+        is_local,
+        failures: 0.0,
+    };
+    assert_eq!(
+        choose_service(&[option(2, true), option(0, false)]),
+        Some(0)
+    );
+    assert_eq!(
+        choose_service(&[option(9, true), option(0, false)]),
+        Some(1)
+    );
+    let slow = ServiceOption {
+        pace: 2.5,
+        ..option(0, true)
+    };
+    assert_eq!(choose_service(&[slow, option(0, false)]), Some(1));
+}
+
+// Guards against a replica that is never tried again after it has failed.
+#[test]
+fn failures_are_forgotten() {
+    let at = |seconds: u64| units::Timestamp(seconds * 1_000_000);
+    let mut rate = FailureRate::default();
+    for _ in 0..20 {
+        rate.observe(true, at(1));
+    }
+    assert!(rate.part(at(1)) > 0.9);
+    assert!(rate.part(at(11)) < 0.05);
+}
--- a/crates/decisions/tests/slot_broker.rs
+++ b/crates/decisions/tests/slot_broker.rs
@@ -9,7 +9,7 @@
     adapter_slots: 3,
     parallel_loads: 2,
     batch_slots: 4,
-    prefill_rate: 20.0,
+    unstarted: 3,
 };
 
 fn at(millis: u64) -> units::Timestamp {
@@ -40,7 +40,7 @@
             version,
         }),
         priority: 1,
-        prompt_tokens: 2000,
+        objective: at(800),
         deadline: at(4000),
     }
 }
@@ -213,26 +213,88 @@
     assert_eq!(broker.entries(at(3000)), 1);
 }
 
+/// Report of an engine with unstarted requests.
+fn reading(unstarted: u32) -> SlotReport {
+    SlotReport {
+        unstarted,
+        ..report(&["a"])
+    }
+}
+
+/// Numbers of the places that are granted.
+fn granted(outcomes: &[(PlaceId, PlaceOutcome)]) -> Vec<u64> {
+    let granted = outcomes
+        .iter()
+        .filter(|(_, outcome)| matches!(outcome, PlaceOutcome::Granted { .. }));
+    granted.map(|(id, _)| id.number).collect()
+}
+
 // Guards against requests that queue at an engine until their callers have left.
 #[test]
 fn a_request_behind_more_prompts_than_it_can_wait_for_is_refused() {
     let mut broker = broker(&["a"]);
-    let mut granted = 0;
-    for number in 0..200 {
-        match broker.ask(request(number, "a", 0), at(0)) {
-            Some(PlaceOutcome::Granted { .. }) => granted += 1,
-            Some(PlaceOutcome::Refused {
+    let refusals: Vec<_> = (0..200)
+        .filter_map(|number| broker.ask(request(number, "a", 0), at(0)))
+        .filter_map(|outcome| match outcome {
+            PlaceOutcome::Granted { .. } => None,
+            PlaceOutcome::Refused {
                 reason,
                 retry_after,
-            }) => {
-                assert_eq!(reason, PlaceRefusal::Backlog);
-                assert!(retry_after > time::Duration::from_secs(1));
+            } => Some((reason, retry_after)),
+        })
+        .collect();
+    // A prompt is assumed to take 90 ms, and the requests can wait for 4 s.
+    assert!((150..=160).contains(&refusals.len()), "{}", refusals.len());
+    for (reason, retry_after) in refusals {
+        assert_eq!(reason, PlaceRefusal::Backlog);
+        assert!(retry_after > time::Duration::from_secs(1));
+    }
+}
+
+// Guards against a burst that makes every request late because those that are late already go
+// first. Plays a burst of 60 requests on an engine that begins one every 50 ms, while each is on
+// time for 800 ms, and 8 more that arrive after 1.5 s.
+#[test]
+fn requests_that_can_be_on_time_pass_those_that_cannot() {
+    let mut broker = SlotBroker::new(BrokerLimits {
+        batch_slots: 100,
+        ..LIMITS
+    });
+    broker.observe(&report(&["a"]), at(0));
+    let mut begun = Vec::new();
+    let mut unstarted = 0_u32;
+    let mut started = 0;
+    for step in 0..60 {
+        let now = at(step * 50);
+        let arrivals = match step {
+            0 => 0..60,
+            30 => 100..108,
+            _ => 0..0,
+        };
+        for number in arrivals {
+            let mut request = request(number, "a", 0);
+            request.objective = now + time::Duration::from_millis(800);
+            request.deadline = now + time::Duration::from_secs(5);
+            if let Some(PlaceOutcome::Granted { .. }) = broker.ask(request, now) {
+                begun.push((number, step * 50));
+                unstarted += 1;
             }
-            None => panic!("the adapter is held"),
+        }
+        if unstarted > 0 {
+            unstarted -= 1;
+            started += 1;
+        }
+        broker.heard(1, now);
+        for number in granted(&broker.observe(&reading(unstarted), now)) {
+            begun.push((number, step * 50));
+            unstarted += 1;
         }
     }
-    // 2,000 tokens take 100 ms, and the requests can wait 4 s.
-    assert!((30..=41).contains(&granted), "{granted}");
+    assert!(started >= 55, "the engine idles: {started}");
+    let timely = begun
+        .iter()
+        .filter(|(number, begun)| *number >= 100 && *begun <= 1500 + 800);
+    assert_eq!(timely.count(), 8, "{begun:?}");
 }
 
 // Guards against a waiting request that is never answered because its load fails.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use broker::message;
 use bytes::Bytes;
-use decisions::{attempt_budget, units};
+use decisions::{answer_length, attempt_budget, units};
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -20,6 +20,8 @@
 const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(300);
 /// Time after a deadline in which a replica's own answer to it may still arrive.
 const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
+/// Time from the begin of a request at an engine to its first event at the caller.
+const FIRST_EVENT_TIME: time::Duration = time::Duration::from_millis(60);
 /// Part of the time left that a request waits for its adapter at one engine.
 const PLACE_WAIT_PART: f64 = 0.6;
 /// Engines that are asked for a place.
@@ -40,6 +42,7 @@
     pub catalog: Mutex<catalog::ServingCatalog>,
     pub members: Mutex<members::ReplicaTable>,
     pub budget: Mutex<attempt_budget::AttemptBudget>,
+    pub lengths: Mutex<answer_length::AnswerLengths>,
     pub pool: connections::ConnectionPool,
     pub journal: journal::RequestJournal,
     pub metrics: metrics::GatewayMetrics,
@@ -150,6 +153,7 @@
             incarnation,
             wire,
             catalog: Mutex::default(),
+            lengths: Mutex::default(),
             pool: connections::ConnectionPool::default(),
             journal: journal::RequestJournal::new(logger),
             metrics,
@@ -171,6 +175,13 @@
         self.catalog.lock().current().is_some() && self.members.lock().ready() > 0
     }
 
+    /// Whether a request asks for a longer answer than most.
+    #[must_use]
+    pub fn is_long(&self, plan: &plan::RequestPlan) -> bool {
+        let need = plan.request.generation.as_ref();
+        need.is_some_and(|need| self.lengths.lock().is_long(need.max_output_tokens))
+    }
+
     /// Makes attempts until there is an answer.
     pub async fn run(self: &Arc<Self>, plan: &plan::RequestPlan) -> Outcome {
         self.budget.lock().first(&plan.service, self.now());
@@ -336,7 +347,7 @@
                 version: plan.adapter_version,
             }),
             priority: plan.route.priority,
-            prompt_tokens: need.prompt_tokens,
+            objective: plan.objective_left().saturating_sub(FIRST_EVENT_TIME),
             wait: plan.time_left().mul_f64(PLACE_WAIT_PART),
             released: Vec::new(),
         }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -45,7 +45,7 @@
             "request" => &plan.request.id, "route" => &plan.route.name,
             "configuration" => plan.configuration, "replica" => &replica.id,
             "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
-            "adapter_version" => version, "expected_ms" => millis(replica.cost),
+            "adapter_version" => version, "is_long" => plan.is_long, "expected_ms" => millis(replica.cost),
             "view_age_ms" => replica.view_age.map(millis),
             "left_ms" => millis(plan.time_left()));
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -181,10 +181,11 @@
     ) -> Option<ChosenReplica> {
         let candidates = self.candidates(&plan.service, excluded, now);
         let ranks = ranks(&candidates, plan);
+        let shares = self.shares(&candidates, plan);
         let options: Vec<_> = candidates
             .iter()
-            .zip(&ranks)
-            .map(|(replica, rank)| self.option(replica, plan, *rank, now))
+            .zip(ranks.into_iter().zip(shares))
+            .map(|(replica, (rank, share))| self.option(replica, plan, rank, share, now))
             .collect();
         let position = replica_choice::choose(&options)?;
         let replica = candidates[position];
@@ -347,6 +348,31 @@
         if reachable.is_empty() { all } else { reachable }
     }
 
+    /// Whether each candidate is among the replicas for answers of the request's length.
+    fn shares(
+        &self,
+        candidates: &[&Replica],
+        plan: &plan::RequestPlan,
+    ) -> Vec<replica_choice::LengthShare> {
+        let mut order: Vec<u64> = self
+            .replicas
+            .iter()
+            .filter(|replica| replica.record.service == plan.service)
+            .map(Replica::position_hash)
+            .collect();
+        order.sort_unstable();
+        let share = |replica: &&Replica| {
+            let position = order.partition_point(|hash| *hash < replica.position_hash());
+            let serves_long = replica_choice::serves_long(position, order.len());
+            if serves_long == plan.is_long {
+                replica_choice::LengthShare::Own
+            } else {
+                replica_choice::LengthShare::Other
+            }
+        };
+        candidates.iter().map(share).collect()
+    }
+
     /// Whether a later replica has the address.
     fn is_superseded(&self, replica: &Replica) -> bool {
         self.replicas.iter().any(|other| {
@@ -360,6 +386,7 @@
         replica: &Replica,
         plan: &plan::RequestPlan,
         rank: u32,
+        share: replica_choice::LengthShare,
         now: units::Timestamp,
     ) -> replica_choice::ReplicaOption {
         let view = replica.fresh_view(now);
@@ -367,6 +394,7 @@
         replica_choice::ReplicaOption {
             adapter,
             readiness: replica.readiness(plan, now),
+            share,
             has_room: view.is_none_or(|view| view.room > 0),
             backlog: replica.backlog(now),
             is_local: replica.record.data_centre == self.data_centre,
@@ -406,6 +434,11 @@
         is_leaving.then_some(MemberChange::Leaving { id })
     }
 
+    /// Place of the replica in an order that all entries share.
+    fn position_hash(&self) -> u64 {
+        xxh3::xxh3_64(self.record.address.to_string().as_bytes())
+    }
+
     fn gone(&self) -> MemberChange {
         MemberChange::Gone {
             id: self.record.id.clone(),
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -25,6 +25,8 @@
     pub deadline: Instant,
     /// Declared version of the adapter; 0 if none is declared.
     pub adapter_version: u32,
+    /// The answer may become longer than most.
+    pub is_long: bool,
     /// Version of the configuration by which the request is handled.
     pub configuration: u64,
 }
@@ -75,6 +77,7 @@
             body,
             received_at,
             adapter_version,
+            is_long: false,
             configuration: current.version,
         })
     }
@@ -85,6 +88,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time in which an answer is on time.
+    #[must_use]
+    pub fn objective_left(&self) -> time::Duration {
+        let objective = self.received_at + self.route.objective;
+        objective.saturating_duration_since(Instant::now())
+    }
+
     /// Whether there is time for another attempt.
     #[must_use]
     pub fn has_time(&self) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,15 @@
 //! `hyper` serves callers in place of `xitca-web`, because it drops a request's work as soon as the
 //! caller closes its connection, also before an answer; an engine would otherwise go on with it.
 
-use std::{convert::Infallible, future, io, net, sync::Arc, time};
+use std::{
+    convert::Infallible,
+    future, io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time,
+};
 
 use bytes::Bytes;
 use futures::FutureExt;
@@ -153,7 +161,10 @@
         limits.idle_timeout.max(limits.header_timeout)
     });
     let mut closing = phases.clone();
+    let has_request = Arc::new(AtomicBool::new(false));
+    let marked = Arc::clone(&has_request);
     let handler = service::service_fn(move |request| {
+        marked.store(true, Ordering::Relaxed);
         let dispatcher = Arc::clone(&dispatcher);
         let is_leaving = *phases.borrow() != ServingPhase::Serving;
         async move {
@@ -175,8 +186,13 @@
     tokio::select! {
         // A broken connection ends its requests; their replicas are told by closed connections.
         _ = connection.as_mut() => return,
-        _ = is_closing => connection.as_mut().graceful_shutdown(),
+        _ = is_closing => {}
     }
+    // A connection without a request would only end with its idle time.
+    if !has_request.load(Ordering::Relaxed) {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
@@ -218,7 +234,10 @@
         plan::RequestPlan::new(decoded, head, body, received_at, &catalog)
     };
     match plan {
-        Ok(plan) => run(dispatcher, plan).await,
+        Ok(mut plan) => {
+            plan.is_long = dispatcher.is_long(&plan);
+            run(dispatcher, plan).await
+        }
         Err(answer) => own_answer(dispatcher, &id, &answer),
     }
 }
