--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod engine;
 pub mod message;
+pub mod metrics;
 pub mod server;
 pub mod service;
 pub mod settings;
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -113,6 +113,20 @@
     pub released: Vec<u64>,
 }
 
+impl RefusalReason {
+    /// Label in logs and counters.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Backlog => "backlog",
+            Self::Slots => "adapter_slots",
+            Self::Late => "adapter_late",
+            Self::Engine => "engine_unreachable",
+            Self::OtherEngine => "engine_replaced",
+        }
+    }
+}
+
 impl From<slot_broker::PlaceRefusal> for RefusalReason {
     fn from(reason: slot_broker::PlaceRefusal) -> Self {
         match reason {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -1,20 +1,14 @@
 //! Broker process: places for entries, orders to the engine.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time,
-};
+use std::{sync::Arc, time};
 
 use decisions::{slot_broker, units};
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
-use telemetry::{events, logs};
+use telemetry::{events, exposition, logs};
 use tokio::sync::{Notify, oneshot};
 
-use crate::{engine, message, service, settings};
+use crate::{engine, message, metrics, service, settings};
 
 /// Reports while a load is awaited.
 const BUSY_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -49,7 +43,7 @@
     started: time::Instant,
     wake: Notify,
     logger: slog::Logger,
-    orders_given: AtomicU64,
+    metrics: metrics::BrokerMetrics,
 }
 
 impl EngineBroker {
@@ -59,6 +53,7 @@
         settings: settings::BrokerSettings,
         orders: Box<dyn engine::EngineOrders>,
         logger: slog::Logger,
+        metrics: metrics::BrokerMetrics,
     ) -> Self {
         let limits = slot_broker::BrokerLimits {
             adapter_slots: 0,
@@ -84,7 +79,7 @@
             started: time::Instant::now(),
             wake: Notify::new(),
             logger,
-            orders_given: AtomicU64::new(0),
+            metrics,
         }
     }
 
@@ -109,11 +104,6 @@
         }
     }
 
-    /// Orders given since the start.
-    pub fn orders_given(&self) -> u64 {
-        self.orders_given.load(Ordering::Relaxed)
-    }
-
     fn now(&self) -> units::Timestamp {
         let micros = self.started.elapsed().as_micros();
         units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
@@ -172,9 +162,9 @@
             };
             (order, fenced)
         };
-        self.orders_given.fetch_add(1, Ordering::Relaxed);
         let sequence = fenced.sequence;
         let reply = self.orders.order(fenced).await;
+        self.metrics.ordered(&reply);
         self.log_order(&order, sequence, &reply);
         let mut state = self.state.lock();
         match (&reply, &order) {
@@ -336,7 +326,12 @@
 
 impl service::BrokerHandler for EngineBroker {
     fn place(&self, call: message::PlaceCall) -> BoxFuture<'_, message::PlaceReply> {
-        Box::pin(self.take_place(call))
+        Box::pin(async move {
+            let asked = time::Instant::now();
+            let reply = self.take_place(call).await;
+            self.metrics.answered(&reply.answer, asked.elapsed());
+            reply
+        })
     }
 
     fn view(&self, call: message::ViewCall) -> message::EngineView {
@@ -352,10 +347,21 @@
 /// Runs a broker until the task is dropped.
 ///
 /// # Errors
-/// [`service::BrokerError`] when its address is in use.
+/// [`service::BrokerError`] when an address is in use.
 pub async fn serve(broker: Arc<EngineBroker>) -> Result<(), service::BrokerError> {
     let listen = broker.settings.listen;
+    let metrics = match broker.settings.metrics {
+        Some(address) => Some(service::bind(address).await?),
+        None => None,
+    };
+    let rendered = Arc::clone(&broker);
+    let exposed = async move {
+        if let Some(listener) = metrics {
+            let text = move |_: &str| (http::StatusCode::OK, rendered.metrics.render());
+            exposition::serve(listener, text).await;
+        }
+    };
     let handler: Arc<dyn service::BrokerHandler> = Arc::clone(&broker) as _;
-    let ((), served) = tokio::join!(broker.run(), service::serve(listen, handler));
+    let ((), (), served) = tokio::join!(broker.run(), exposed, service::serve(listen, handler));
     served
 }
--- a/crates/broker/src/service.rs
+++ b/crates/broker/src/service.rs
@@ -6,7 +6,10 @@
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tarpc::{client, context, serde_transport::tcp, server, server::Channel, tokio_serde::formats};
-use tokio::{net::TcpStream, task};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task,
+};
 
 use crate::message;
 
@@ -112,6 +115,16 @@
     Ok(())
 }
 
+/// Binds a listener.
+///
+/// # Errors
+/// [`BrokerError::Listen`] when the address is in use.
+pub async fn bind(address: net::SocketAddr) -> Result<TcpListener, BrokerError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
 /// Call context with a deadline of `limit` from now.
 #[must_use]
 pub fn deadline(limit: time::Duration) -> context::Context {
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -51,10 +51,7 @@
     /// Answer to a request for which brokers had no place.
     #[must_use]
     pub fn no_place(reason: message::RefusalReason, retry_after: time::Duration) -> Self {
-        Self::not_run(
-            refusal_label(reason),
-            retry_after.clamp(MIN_PAUSE, MAX_PAUSE),
-        )
+        Self::not_run(reason.label(), retry_after.clamp(MIN_PAUSE, MAX_PAUSE))
     }
 
     /// Whether the answer states that the request did not run.
@@ -63,15 +60,3 @@
         self.retry_after.is_some()
     }
 }
-
-/// Label of a broker's refusal in logs and counters.
-#[must_use]
-pub fn refusal_label(reason: message::RefusalReason) -> &'static str {
-    match reason {
-        message::RefusalReason::Backlog => "backlog",
-        message::RefusalReason::Slots => "adapter_slots",
-        message::RefusalReason::Late => "adapter_late",
-        message::RefusalReason::Engine => "engine_unreachable",
-        message::RefusalReason::OtherEngine => "engine_replaced",
-    }
-}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -307,7 +307,7 @@
                             if reason == message::RefusalReason::OtherEngine {
                                 self.members.lock().set_aside(&replica.id, now);
                             }
-                            let label = answers::refusal_label(reason);
+                            let label = reason.label();
                             self.journal.retried(plan, &replica.id, label, true);
                             refusal = answers::OwnAnswer::no_place(reason, retry_after);
                         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
 
 use std::{
     convert::Infallible,
-    future, io, net,
+    io, net,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -14,13 +14,12 @@
 };
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
-use telemetry::{events, logs};
+use telemetry::{events, exposition, logs};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -306,7 +305,7 @@
     dispatcher: Arc<dispatch::Dispatcher>,
     phases: watch::Receiver<ServingPhase>,
 ) {
-    serve_plain(listener, move |path| {
+    exposition::serve(listener, move |path| {
         if !dispatcher.wire.is_readiness(path) {
             return (StatusCode::NOT_FOUND, String::new());
         }
@@ -321,34 +320,8 @@
 }
 
 async fn serve_metrics(listener: TcpListener, dispatcher: Arc<dispatch::Dispatcher>) {
-    serve_plain(listener, move |_| {
+    exposition::serve(listener, move |_| {
         (StatusCode::OK, dispatcher.metrics.render())
     })
     .await;
 }
-
-/// Serves short texts by their path.
-async fn serve_plain(
-    listener: TcpListener,
-    text: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(time::Duration::from_millis(20)).await;
-            continue;
-        };
-        let text = text.clone();
-        let handler = service::service_fn(move |request: Request<Incoming>| {
-            let (status, body) = text(request.uri().path());
-            let mut response = Response::new(Full::new(Bytes::from(body)));
-            *response.status_mut() = status;
-            future::ready(Ok::<_, Infallible>(response))
-        });
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(FIRST_IDLE);
-        let connection = builder.serve_connection(TokioIo::new(stream), handler);
-        tokio::spawn(connection.map(drop));
-    }
-}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! are JSON lines; each carries the number of its event in [`events`].
 
 pub mod events;
+pub mod exposition;
 pub mod limiter;
 pub mod logs;
 pub mod metrics;
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -5,7 +5,7 @@
 
 use std::{future, io, net, process, sync::Arc, time};
 
-use broker::{server as broker_server, settings as broker_settings};
+use broker::{metrics as broker_metrics, server as broker_server, settings as broker_settings};
 use gateway::{dispatch, metrics, server as gateway_server, settings as gateway_settings};
 use platform_wire::{dialect, orders, store};
 use snafu::{ResultExt, Snafu};
@@ -84,7 +84,8 @@
         };
         let engine: net::SocketAddr = engine;
         let orders = Box::new(orders::LocalEngine::new(engine));
-        let broker = broker_server::EngineBroker::new(settings, orders, logger.clone());
+        let metrics = broker_metrics::BrokerMetrics::new().context(MetricsSnafu)?;
+        let broker = broker_server::EngineBroker::new(settings, orders, logger.clone(), metrics);
         logs::info(&logger, events::PROCESS_STARTED, "broker serves");
         tokio::select! {
             served = broker_server::serve(Arc::new(broker)) => served.context(BrokerSnafu),
