--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -136,7 +136,7 @@
                 engine.restart();
                 self.platform.list(false);
             }
-            6 => self.platform.store.compact("keyed.servers"),
+            6 => self.platform.compact_replicas(),
             7 => {
                 let adapter = format!("a{}", generator.random_range(0..ADAPTERS));
                 self.platform
