Send nothing to a replica that leaves while a request waits for its place

Change: after a place is granted, the replica must still take requests; otherwise the place is released and another replica is asked.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -297,6 +297,13 @@
                     let now = self.now();
                     self.members.lock().viewed(&replica.id, reply.view, now);
                     match reply.answer {
+                        // The replica may have left while the request waited for its adapter.
+                        message::PlaceAnswer::Granted { .. }
+                            if !self.members.lock().takes_requests(&replica.id) =>
+                        {
+                            replica.broker.release(number);
+                            self.journal.retried(plan, &replica.id, "leaving", true);
+                        }
                         message::PlaceAnswer::Granted { version } => {
                             return Ok((replica, Some(number), version));
                         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -141,6 +141,13 @@
         changes
     }
 
+    /// Whether a replica that was chosen still takes requests.
+    #[must_use]
+    pub fn takes_requests(&self, id: &str) -> bool {
+        let found = self.find(id).ok();
+        found.is_some_and(|position| !self.replicas[position].record.is_leaving)
+    }
+
     /// Number of replicas that take requests.
     #[must_use]
     pub fn ready(&self) -> usize {
--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -134,7 +134,7 @@
             5 => {
                 let engine = self.platform.engines.choose(generator).unwrap();
                 engine.restart();
-                self.platform.list(false);
+                self.platform.list(0);
             }
             6 => self.platform.compact_replicas(),
             7 => {
@@ -158,7 +158,7 @@
         for replica in self.platform.engines.iter().chain(&self.platform.desks) {
             replica.set_fault(ReplicaFault::None);
         }
-        self.platform.list(false);
+        self.platform.list(0);
         self.restart();
     }
 
