Give up calls to a silent broker with the first silent heartbeat

Change: a heartbeat without an answer ends the open calls of its connection; a replica whose broker is silent, not merely ended, is set aside. Test: a_silent_heartbeat_ends_open_calls.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -8,6 +8,7 @@
 use decisions::units;
 use parking_lot::Mutex;
 use snafu::Snafu;
+use tokio::sync::Notify;
 
 use crate::{message, service};
 
@@ -28,6 +29,19 @@
     NoAnswer { message: String },
 }
 
+impl CallError {
+    /// Whether the broker's instance is silent, which concerns its engine too. A broker that has
+    /// only ended refuses connections.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        match self {
+            Self::Paused => false,
+            Self::Connect { source } => source.is_timeout(),
+            Self::NoAnswer { .. } => true,
+        }
+    }
+}
+
 #[derive(Default)]
 struct ClientState {
     connection: Option<service::BrokerRpcClient>,
@@ -39,6 +53,8 @@
 pub struct BrokerClient {
     address: net::SocketAddr,
     state: Mutex<ClientState>,
+    /// Ends the open calls of a connection that was found silent.
+    lost: Notify,
 }
 
 impl BrokerClient {
@@ -48,6 +64,7 @@
         Self {
             address,
             state: Mutex::default(),
+            lost: Notify::new(),
         }
     }
 
@@ -76,8 +93,18 @@
         let mut released = call.released.clone();
         released.push(call.number);
         let limit = call.wait + ANSWER_LIMIT;
-        let reply = connection.place(service::deadline(limit), call).await;
-        reply.map_err(|error| self.fail(released, &error.to_string(), now + limit))
+        let asked = time::Instant::now();
+        let reply = tokio::select! {
+            reply = connection.place(service::deadline(limit), call) => reply,
+            // A heartbeat has found the connection silent; waiting on would only hold the request.
+            () = self.lost.notified() => {
+                self.state.lock().released.extend(released);
+                return Err(CallError::NoAnswer {
+                    message: "the connection was given up".to_owned(),
+                });
+            }
+        };
+        reply.map_err(|error| self.fail(released, &error.to_string(), now + asked.elapsed()))
     }
 
     /// Fetches the engine's state.
@@ -129,6 +156,7 @@
         state.released.extend(released);
         state.connection = None;
         state.paused_until = now + PAUSE;
+        self.lost.notify_waiters();
         CallError::NoAnswer {
             message: message.to_owned(),
         }
--- a/crates/broker/src/service.rs
+++ b/crates/broker/src/service.rs
@@ -68,6 +68,14 @@
     },
 }
 
+impl BrokerError {
+    /// Whether the other end did not react at all.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::ConnectTimeout { .. })
+    }
+}
+
 /// Connects to a broker.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/broker/tests/client.rs
@@ -0,0 +1,69 @@
+//! Connection of an entry to a broker that is silent.
+
+use std::time;
+
+use broker::{client::BrokerClient, message};
+use decisions::units;
+use tokio::net::TcpListener;
+
+/// Wait for the adapter; a call that is not given up earlier takes longer.
+const WAIT: time::Duration = time::Duration::from_secs(8);
+
+fn setup() -> message::EngineSetup {
+    message::EngineSetup {
+        name: message::EngineName {
+            id: "engine-0".to_owned(),
+            incarnation: 1,
+        },
+        size: message::EngineSize {
+            adapter_slots: 2,
+            batch_slots: 8,
+        },
+        model: "base".to_owned(),
+    }
+}
+
+// Guards against requests that are held at the broker of a frozen instance for as long as they
+// would wait for an adapter, although heartbeats have found it silent.
+#[tokio::test]
+async fn a_silent_heartbeat_ends_open_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = BrokerClient::new(listener.local_addr().unwrap());
+    let call = message::PlaceCall {
+        entry: 1,
+        number: 5,
+        engine: setup(),
+        adapter: None,
+        priority: 0,
+        objective: WAIT,
+        wait: WAIT,
+        released: Vec::new(),
+    };
+    let now = units::Timestamp(0);
+    let place = async {
+        let asked = time::Instant::now();
+        let error = client.place(call, now).await.unwrap_err();
+        (error, asked.elapsed())
+    };
+    let heartbeat = async {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        client.view(1, setup(), now).await.unwrap_err()
+    };
+    let ((error, elapsed), heartbeat) = tokio::join!(place, heartbeat);
+    assert!(error.is_silent() && heartbeat.is_silent());
+    assert!(elapsed < WAIT / 2, "{elapsed:?}");
+    assert!(!client.is_reachable(now));
+}
+
+// Guards against an engine that is left alone because only its broker has ended.
+#[tokio::test]
+async fn a_refused_connection_is_no_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = BrokerClient::new(listener.local_addr().unwrap());
+    drop(listener);
+    let error = client
+        .view(1, setup(), units::Timestamp(0))
+        .await
+        .unwrap_err();
+    assert!(!error.is_silent(), "{error}");
+}
--- a/crates/gateway/src/brokers.rs
+++ b/crates/gateway/src/brokers.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use broker::message;
+use broker::{client, message};
 use futures::{StreamExt, stream};
 use telemetry::events;
 
@@ -32,6 +32,10 @@
         while let Some((id, view)) = views.next().await {
             let was_lost = lost.binary_search(&id);
             let logger = dispatcher.journal.logger();
+            if view.as_ref().is_err_and(client::CallError::is_silent) {
+                let now = dispatcher.now();
+                dispatcher.members.lock().set_aside(&id, now);
+            }
             match (view, was_lost) {
                 (Ok(view), found) => {
                     if let Ok(position) = found {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -321,11 +321,14 @@
                     }
                 }
                 // Without its broker, an engine serves the adapters that it holds.
-                Err(_) if replica.is_held => {
+                Err(error) if replica.is_held && !error.is_silent() => {
                     let version = replica.version;
                     return Ok((replica, None, version));
                 }
                 Err(error) => {
+                    if error.is_silent() {
+                        self.members.lock().set_aside(&replica.id, self.now());
+                    }
                     self.journal
                         .retried(plan, &replica.id, &error.to_string(), true);
                 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -249,7 +249,8 @@
         }
     }
 
-    /// Leaves out a replica for a moment whose address has another one now.
+    /// Leaves out a replica for a moment whose address has another one now or whose instance is
+    /// silent.
     pub fn set_aside(&mut self, id: &str, now: units::Timestamp) {
         if let Some(replica) = self.find_mut(id) {
             replica.unreachable_until = now + UNREACHABLE_LIMIT;
