Give up a place whose caller leaves, and check settings of the new roles

Cause (found by reading): a caller that left between a broker's grant and the gateway's sight of it kept its place, and with it a slot, for as long as the gateway lived. The place now exists from before it is asked for and is given up when it is dropped. The race itself is not played by a test; callers_who_leave_during_the_wait plays callers that leave while their adapters load.

The choice of a replica with its place is a type and two functions instead of a tuple and one.

--- a/crates/broker/src/settings.rs
+++ b/crates/broker/src/settings.rs
@@ -32,3 +32,29 @@
 fn default_parallel_loads() -> usize {
     2
 }
+
+impl BrokerSettings {
+    /// Values that the format allows and a broker cannot work with, each with its remedy.
+    #[must_use]
+    pub fn validate(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut check = |is_valid: bool, fault: &str| {
+            if !is_valid {
+                faults.push(fault.to_owned());
+            }
+        };
+        check(
+            !self.instance.is_empty(),
+            "instance: empty; name the instance",
+        );
+        check(
+            self.unstarted > 0,
+            "unstarted: 0; the engine would get nothing",
+        );
+        check(
+            self.parallel_loads > 0,
+            "parallel_loads: 0; no adapter would be loaded",
+        );
+        faults
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,8 +5,6 @@
 
 use std::time;
 
-use decisions::units;
-
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -49,8 +47,6 @@
     pub shares: Vec<ServiceShare>,
     /// Replicas to which one request may be sent.
     pub max_attempts: u32,
-    /// Longest pause between events that is still on time.
-    pub event_gap: time::Duration,
 }
 
 impl RouteEntry {
@@ -78,7 +74,6 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineLimits {
     pub slots: u32,
-    pub kv_tokens: u64,
     pub adapter_slots: u32,
     /// Base models, in the order of the configuration.
     pub models: Vec<String>,
@@ -157,12 +152,11 @@
     current: Option<std::sync::Arc<ConfigurationVersion>>,
     /// Sorted by model and adapter.
     adapters: Vec<AdapterVersion>,
-    adopted_at: units::Timestamp,
 }
 
 impl ServingCatalog {
     /// Takes a configuration if it is newer.
-    pub fn adopt(&mut self, found: ConfigurationVersion, now: units::Timestamp) -> CatalogChange {
+    pub fn adopt(&mut self, found: ConfigurationVersion) -> CatalogChange {
         let version = found.version;
         if self
             .current
@@ -172,7 +166,6 @@
             return CatalogChange::Stale;
         }
         self.current = Some(std::sync::Arc::new(found));
-        self.adopted_at = now;
         CatalogChange::Configuration { version }
     }
 
@@ -205,12 +198,6 @@
         Some(self.adapters[position].version)
     }
 
-    /// Time since the configuration in force was adopted.
-    #[must_use]
-    pub fn age(&self, now: units::Timestamp) -> time::Duration {
-        now.since(self.adopted_at)
-    }
-
     fn find(&self, model: &str, adapter: &str) -> Result<usize, usize> {
         self.adapters.binary_search_by(|held| {
             (held.model.as_str(), held.adapter.as_str()).cmp(&(model, adapter))
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time};
 
-use broker::message;
+use broker::{client, message};
 use bytes::Bytes;
 use decisions::{answer_length, attempt_budget, units};
 use http::{Request, Response, response};
@@ -59,22 +59,41 @@
     pub guard: AttemptGuard,
 }
 
-/// Releases what an attempt holds.
+/// Counts the end of an attempt and gives up its place.
 pub struct AttemptGuard {
     dispatcher: Arc<Dispatcher>,
-    replica: members::ChosenReplica,
-    place: Option<u64>,
+    replica: String,
+    /// Given up when the guard is dropped.
+    _place: Option<HeldPlace>,
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.dispatcher.members.lock().ended(&self.replica.id);
-        if let Some(place) = self.place {
-            self.replica.broker.release(place);
-        }
+        self.dispatcher.members.lock().ended(&self.replica);
+    }
+}
+
+/// Place that is asked for or held, and given up when dropped. It exists from before the request
+/// for it, because the caller may leave before the broker's answer is seen.
+struct HeldPlace {
+    broker: Arc<client::BrokerClient>,
+    number: u64,
+}
+
+impl Drop for HeldPlace {
+    fn drop(&mut self) {
+        self.broker.release(self.number);
     }
 }
 
+/// Replica for an attempt, with a place if it is an engine with a broker.
+struct PlacedReplica {
+    replica: members::ChosenReplica,
+    place: Option<HeldPlace>,
+    /// Held version of the adapter, which the replica must run.
+    version: Option<u32>,
+}
+
 /// Complete answer of a replica.
 pub struct WholeAnswer {
     pub head: response::Parts,
@@ -223,12 +242,16 @@
         history: &mut AttemptHistory,
         resume_after: Option<u64>,
     ) -> Result<OpenAttempt, AttemptError> {
-        let (replica, place, version) = self.place(plan, history).await?;
+        let PlacedReplica {
+            replica,
+            place,
+            version,
+        } = self.place(plan, history).await?;
         self.members.lock().sent(&replica.id);
         let guard = AttemptGuard {
             dispatcher: Arc::clone(self),
-            replica: replica.clone(),
-            place,
+            replica: replica.id.clone(),
+            _place: place,
         };
         let mut connection = self.connect(&replica).await.map_err(|error| {
             self.members.lock().unreachable(&replica.id, self.now());
@@ -271,12 +294,16 @@
         &self,
         plan: &plan::RequestPlan,
         history: &AttemptHistory,
-    ) -> Result<(members::ChosenReplica, Option<u64>, Option<u32>), AttemptError> {
+    ) -> Result<PlacedReplica, AttemptError> {
         let Some(engine) = &plan.engine else {
             let members = self.members.lock();
             let chosen = members.choose_service(&plan.service, &history.excluded, self.now());
             let replica = chosen.ok_or(AttemptError::Refused(answers::OwnAnswer::NO_REPLICA))?;
-            return Ok((replica, None, None));
+            return Ok(PlacedReplica {
+                replica,
+                place: None,
+                version: None,
+            });
         };
         let mut excluded = history.excluded.clone();
         let mut refusal = answers::OwnAnswer::NO_REPLICA;
@@ -285,53 +312,9 @@
             let chosen = self.members.lock().choose_engine(plan, &excluded, now);
             let Some(replica) = chosen else { break };
             excluded.push(replica.id.clone());
-            if replica.cost > plan.time_left() + UNPLACED {
-                break;
-            }
-            let number = self.next_place();
-            let call = self.place_call(plan, &replica, engine, number);
-            let asked = Instant::now();
-            match replica.broker.place(call, now).await {
-                Ok(reply) => {
-                    self.metrics.placed(asked.elapsed());
-                    let now = self.now();
-                    self.members.lock().viewed(&replica.id, reply.view, now);
-                    match reply.answer {
-                        // The replica may have left while the request waited for its adapter.
-                        message::PlaceAnswer::Granted { .. }
-                            if !self.members.lock().takes_requests(&replica.id) =>
-                        {
-                            replica.broker.release(number);
-                            self.journal.retried(plan, &replica.id, "leaving", true);
-                        }
-                        message::PlaceAnswer::Granted { version } => {
-                            return Ok((replica, Some(number), version));
-                        }
-                        message::PlaceAnswer::Refused {
-                            reason,
-                            retry_after,
-                        } => {
-                            if reason == message::RefusalReason::OtherEngine {
-                                self.members.lock().set_aside(&replica.id, now);
-                            }
-                            let label = reason.label();
-                            self.journal.retried(plan, &replica.id, label, true);
-                            refusal = answers::OwnAnswer::no_place(reason, retry_after);
-                        }
-                    }
-                }
-                // Without its broker, an engine serves the adapters that it holds.
-                Err(error) if replica.is_held && !error.is_silent() => {
-                    let version = replica.version;
-                    return Ok((replica, None, version));
-                }
-                Err(error) => {
-                    if error.is_silent() {
-                        self.members.lock().set_aside(&replica.id, self.now());
-                    }
-                    self.journal
-                        .retried(plan, &replica.id, &error.to_string(), true);
-                }
+            match self.ask_place(plan, engine, replica).await {
+                Ok(placed) => return Ok(placed),
+                Err(answer) => refusal = answer.unwrap_or(refusal),
             }
             if !plan.has_time() {
                 break;
@@ -340,6 +323,69 @@
         Err(AttemptError::Refused(refusal))
     }
 
+    /// Asks the broker of an engine for a place; fails with the answer that its refusal calls for.
+    async fn ask_place(
+        &self,
+        plan: &plan::RequestPlan,
+        engine: &catalog::EngineLimits,
+        replica: members::ChosenReplica,
+    ) -> Result<PlacedReplica, Option<answers::OwnAnswer>> {
+        let place = HeldPlace {
+            broker: Arc::clone(&replica.broker),
+            number: self.next_place(),
+        };
+        let call = self.place_call(plan, &replica, engine, place.number);
+        let asked = Instant::now();
+        let reply = match replica.broker.place(call, self.now()).await {
+            Ok(reply) => reply,
+            // Without its broker, an engine serves the adapters that it holds.
+            Err(error) if replica.is_held && !error.is_silent() => {
+                return Ok(PlacedReplica {
+                    version: replica.version,
+                    replica,
+                    place: None,
+                });
+            }
+            Err(error) => {
+                if error.is_silent() {
+                    self.members.lock().set_aside(&replica.id, self.now());
+                }
+                let reason = error.to_string();
+                self.journal.retried(plan, &replica.id, &reason, true);
+                return Err(None);
+            }
+        };
+        self.metrics.placed(asked.elapsed());
+        let now = self.now();
+        let mut members = self.members.lock();
+        members.viewed(&replica.id, reply.view, now);
+        match reply.answer {
+            message::PlaceAnswer::Granted { version } if members.takes_requests(&replica.id) => {
+                Ok(PlacedReplica {
+                    replica,
+                    place: Some(place),
+                    version,
+                })
+            }
+            // The replica has left while the request waited for its adapter.
+            message::PlaceAnswer::Granted { .. } => {
+                self.journal.retried(plan, &replica.id, "leaving", true);
+                Err(None)
+            }
+            message::PlaceAnswer::Refused {
+                reason,
+                retry_after,
+            } => {
+                if reason == message::RefusalReason::OtherEngine {
+                    members.set_aside(&replica.id, now);
+                }
+                let label = reason.label();
+                self.journal.retried(plan, &replica.id, label, true);
+                Err(Some(answers::OwnAnswer::no_place(reason, retry_after)))
+            }
+        }
+    }
+
     fn place_call(
         &self,
         plan: &plan::RequestPlan,
@@ -558,9 +604,6 @@
     }
 }
 
-/// Time beyond the deadline at which an engine's cost is taken as no chance.
-const UNPLACED: time::Duration = time::Duration::from_secs(6);
-
 /// Why the head of an answer is missing.
 enum SendFailure {
     Connection(connections::SendError),
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -96,12 +96,11 @@
 }
 
 fn adopt(dispatcher: &dispatch::Dispatcher, change: store::PublishedChange) {
-    let now = dispatcher.now();
     let logger = dispatcher.journal.logger();
     let mut catalog = dispatcher.catalog.lock();
     match change {
         store::PublishedChange::Configuration(found) => {
-            if let catalog::CatalogChange::Configuration { version } = catalog.adopt(found, now) {
+            if let catalog::CatalogChange::Configuration { version } = catalog.adopt(found) {
                 slog::info!(logger, "configuration in force";
                     "event" => events::CONFIGURATION_APPLIED.number,
                     "name" => events::CONFIGURATION_APPLIED.name, "version" => version);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,3 +62,44 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub rotation_ms: time::Duration,
 }
+
+impl GatewaySettings {
+    /// Values that the format allows and a gateway cannot work with, each with its remedy.
+    #[must_use]
+    pub fn validate(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut check = |is_valid: bool, fault: &str| {
+            if !is_valid {
+                faults.push(fault.to_owned());
+            }
+        };
+        check(
+            !self.instance.is_empty(),
+            "instance: empty; name the instance",
+        );
+        let is_listed = self.data_centres.contains(&self.data_centre);
+        check(
+            is_listed,
+            "data_centre: not among data_centres; add it there",
+        );
+        check(
+            self.broker_port > 0,
+            "broker_port: 0; give the port of the brokers",
+        );
+        let budget = self.retry_budget;
+        check(
+            budget.ratio >= 0.0 && budget.ratio.is_finite(),
+            "retry_budget.ratio: not a share; give 0 or more",
+        );
+        check(
+            !budget.window_s.is_zero(),
+            "retry_budget.window_s: 0; give the window in seconds",
+        );
+        let limits = self.shutdown;
+        check(
+            limits.rotation_ms < limits.grace_s,
+            "shutdown.rotation_ms: not below grace_s; requests would be cut off",
+        );
+        faults
+    }
+}
--- a/src/check.rs
+++ b/src/check.rs
@@ -3,7 +3,9 @@
 use std::{fs, io};
 
 use agent::settings::AgentSettings;
+use broker::settings::BrokerSettings;
 use entry::settings::EntrySettings;
+use gateway::settings::GatewaySettings;
 use operators::patch;
 use serde::{Deserialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
@@ -19,7 +21,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FileKind {
     Agent,
+    Broker,
     Entry,
+    Gateway,
     Patch,
 }
 
@@ -36,6 +40,8 @@
     changes: Option<serde::de::IgnoredAny>,
     replicas: Option<serde::de::IgnoredAny>,
     services: Option<serde::de::IgnoredAny>,
+    broker_port: Option<serde::de::IgnoredAny>,
+    engine: Option<serde::de::IgnoredAny>,
     listen: Option<serde::de::IgnoredAny>,
 }
 
@@ -59,7 +65,7 @@
         }
     };
     let Some(kind) = fields.kind() else {
-        let fault = "no known kind of file: an entry or agent has `listen`, a patch has `changes`";
+        let fault = "no known kind of file: each role has `listen`, a patch has `changes`";
         return CheckReport {
             kind: None,
             faults: vec![fault.into()],
@@ -68,6 +74,8 @@
     let faults = match kind {
         FileKind::Patch => patch_faults(text),
         FileKind::Agent => settings_faults(text, AgentSettings::validate),
+        FileKind::Broker => settings_faults(text, BrokerSettings::validate),
+        FileKind::Gateway => settings_faults(text, GatewaySettings::validate),
         FileKind::Entry => settings_faults(text, EntrySettings::validate),
     };
     CheckReport {
@@ -81,6 +89,12 @@
         if self.changes.is_some() {
             return Some(FileKind::Patch);
         }
+        if self.broker_port.is_some() {
+            return Some(FileKind::Gateway);
+        }
+        if self.engine.is_some() {
+            return Some(FileKind::Broker);
+        }
         if self.replicas.is_some() || self.services.is_some() {
             return Some(FileKind::Agent);
         }
@@ -130,7 +144,9 @@
 
     // Guards against examples that a new user cannot start.
     #[test_case(include_str!("../examples/agent.yaml"), FileKind::Agent; "agent")]
+    #[test_case(include_str!("../examples/broker.yaml"), FileKind::Broker; "broker")]
     #[test_case(include_str!("../examples/entry.yaml"), FileKind::Entry; "entry")]
+    #[test_case(include_str!("../examples/gateway.yaml"), FileKind::Gateway; "gateway")]
     #[test_case(include_str!("../examples/patch.yaml"), FileKind::Patch; "patch")]
     fn examples_are_valid(text: &str, kind: FileKind) {
         let report = check_text(text);
@@ -150,6 +166,15 @@
         }
     }
 
+    // Guards against settings that let a process start and then fail its callers.
+    #[test_case(include_str!("../examples/gateway.yaml"), "grace_s: 8", "grace_s: 2", "shutdown")]
+    #[test_case(include_str!("../examples/gateway.yaml"), "window_s: 10", "window_s: 0", "retry_budget")]
+    #[test_case(include_str!("../examples/broker.yaml"), "unstarted: 8", "unstarted: 0", "unstarted")]
+    fn unworkable_values_are_faults(text: &str, valid: &str, changed: &str, path: &str) {
+        let report = check_text(&text.replace(valid, changed));
+        assert!(report.faults[0].starts_with(path), "{:?}", report.faults);
+    }
+
     // Guards against a misspelt field that is silently ignored.
     #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nbase_modle: b\nagents: []"; "entry")]
     #[test_case("listen: 127.0.0.1:1\ndata_centre: a\nreplicas: []\ndrain: 3"; "agent")]
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -66,6 +66,7 @@
 /// [`RoleError`] with the reason and its remedy.
 pub fn run_broker(path: &str) -> Result<process::ExitCode, RoleError> {
     let settings: broker_settings::BrokerSettings = settings::read(path).context(SettingsSnafu)?;
+    accept(path, &settings.validate())?;
     let logger = logs::stdout_logger("broker", &settings.instance, &settings.data_centre);
     runtime()?.block_on(async {
         tokio::spawn(watch_settings(
@@ -98,6 +99,18 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+/// Refuses settings with faults.
+fn accept(path: &str, faults: &[String]) -> Result<(), RoleError> {
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let source = settings::SettingsError::Invalid {
+        path: path.to_owned(),
+        message: faults.join("; "),
+    };
+    Err(RoleError::Settings { source })
+}
+
 fn runtime() -> Result<runtime::Runtime, RoleError> {
     runtime::Builder::new_current_thread()
         .enable_all()
