Follow places by the engine's reports

Cause: an engine names a request only with its first event, and counts it in the batch before. Prompts being read were therefore not counted as unstarted, the limit of eight was never met, and backlog and interval were measured too low. An order that the engine left unanswered stopped reports, and with them places, for 300 ms.

Change: unstarted requests are those queued and those being read. Places are followed by request: they start with the first event that is reported and end when the engine no longer names them. Times per prompt token and per made token are measured. Two unstarted requests instead of eight. A request whose answer cannot end in time is refused at once; one without a slot waits if a slot is expected in time. Waits of silent entries are refused; they were kept for good.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -13,7 +13,7 @@
 use crate::{message, service};
 
 const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(250);
-/// Time beyond the wait for an adapter in which a broker must answer.
+/// Time beyond the deadline of a request in which a broker must answer.
 const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(300);
 /// Pause after a failure.
 const PAUSE: time::Duration = time::Duration::from_millis(700);
@@ -92,7 +92,7 @@
         call.released = std::mem::take(&mut self.state.lock().released);
         let mut released = call.released.clone();
         released.push(call.number);
-        let limit = call.wait + ANSWER_LIMIT;
+        let limit = call.deadline + ANSWER_LIMIT;
         let asked = time::Instant::now();
         let reply = tokio::select! {
             reply = connection.place(service::deadline(limit), call) => reply,
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -1,13 +1,13 @@
 //! Engine as its broker sees it.
 
-use decisions::slot_broker;
+use decisions::engine_report;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
 /// Report of an engine to the process beside it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineReport {
-    pub slots: slot_broker::SlotReport,
+    pub slots: engine_report::SlotReport,
     /// Orders that the engine has accepted since its start.
     pub sequence: u64,
 }
@@ -15,7 +15,7 @@
 /// Order with what keeps it from being carried out at the wrong time or place.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FencedOrder {
-    pub order: slot_broker::AdapterOrder,
+    pub order: engine_report::AdapterOrder,
     pub model: String,
     /// Engine incarnation that is to carry it out; any other one must refuse it.
     pub engine: String,
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use decisions::slot_broker;
+use decisions::places;
 use serde::{Deserialize, Serialize};
 
 /// Incarnation of an engine as the store lists it.
@@ -44,13 +44,18 @@
     pub entry: u64,
     pub number: u64,
     pub engine: EngineSetup,
+    /// Name of the request in the engine's reports.
+    pub request: String,
     pub adapter: Option<NeededAdapter>,
     /// 0 is the most urgent.
     pub priority: u8,
+    pub prompt_tokens: u32,
+    /// Expected length of the answer.
+    pub output_tokens: u32,
     /// Time by which the request must begin to be on time.
     pub objective: time::Duration,
-    /// Longest wait for the place.
-    pub wait: time::Duration,
+    /// Time by which its answer must have ended.
+    pub deadline: time::Duration,
     /// Places that the entry gives up.
     pub released: Vec<u64>,
 }
@@ -127,22 +132,22 @@
     }
 }
 
-impl From<slot_broker::PlaceRefusal> for RefusalReason {
-    fn from(reason: slot_broker::PlaceRefusal) -> Self {
+impl From<places::PlaceRefusal> for RefusalReason {
+    fn from(reason: places::PlaceRefusal) -> Self {
         match reason {
-            slot_broker::PlaceRefusal::Backlog => Self::Backlog,
-            slot_broker::PlaceRefusal::Slots => Self::Slots,
-            slot_broker::PlaceRefusal::Late => Self::Late,
-            slot_broker::PlaceRefusal::Engine => Self::Engine,
+            places::PlaceRefusal::Backlog => Self::Backlog,
+            places::PlaceRefusal::Slots => Self::Slots,
+            places::PlaceRefusal::Late => Self::Late,
+            places::PlaceRefusal::Engine => Self::Engine,
         }
     }
 }
 
-impl From<slot_broker::PlaceOutcome> for PlaceAnswer {
-    fn from(outcome: slot_broker::PlaceOutcome) -> Self {
+impl From<places::PlaceOutcome> for PlaceAnswer {
+    fn from(outcome: places::PlaceOutcome) -> Self {
         match outcome {
-            slot_broker::PlaceOutcome::Granted { version } => Self::Granted { version },
-            slot_broker::PlaceOutcome::Refused {
+            places::PlaceOutcome::Granted { version } => Self::Granted { version },
+            places::PlaceOutcome::Refused {
                 reason,
                 retry_after,
             } => Self::Refused {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time};
 
-use decisions::{slot_broker, units};
+use decisions::{engine_report, places, slot_broker, units};
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use telemetry::{events, exposition, logs};
@@ -21,8 +21,8 @@
 const FENCING_TOKEN: u64 = 1;
 
 struct WaitingPlace {
-    id: slot_broker::PlaceId,
-    outcome: oneshot::Sender<slot_broker::PlaceOutcome>,
+    id: places::PlaceId,
+    outcome: oneshot::Sender<places::PlaceOutcome>,
 }
 
 struct EngineState {
@@ -40,8 +40,12 @@
     settings: settings::BrokerSettings,
     orders: Box<dyn engine::EngineOrders>,
     state: Mutex<EngineState>,
-    started: time::Instant,
+    started: tokio::time::Instant,
     wake: Notify,
+    /// A report has arrived, by which an order may be due.
+    order_due: Notify,
+    /// Held during a report, so that reports are taken in their order.
+    reporting: tokio::sync::Mutex<()>,
     logger: slog::Logger,
     metrics: metrics::BrokerMetrics,
 }
@@ -76,15 +80,22 @@
             settings,
             orders,
             state: Mutex::new(state),
-            started: time::Instant::now(),
+            started: tokio::time::Instant::now(),
             wake: Notify::new(),
+            order_due: Notify::new(),
+            reporting: tokio::sync::Mutex::default(),
             logger,
             metrics,
         }
     }
 
-    /// Follows the engine and gives it orders until the task is dropped.
+    /// Follows the engine and gives it orders until the task is dropped. Orders have a task of
+    /// their own, because an engine may leave one unanswered while places are due.
     pub async fn run(&self) {
+        tokio::join!(self.follow(), self.give_orders());
+    }
+
+    async fn follow(&self) {
         loop {
             let is_known = !self.state.lock().model.is_empty();
             if !is_known {
@@ -92,9 +103,7 @@
                 continue;
             }
             self.report().await;
-            while self.order().await {
-                self.report().await;
-            }
+            self.order_due.notify_one();
             let is_busy = self.state.lock().broker.is_busy();
             if is_busy {
                 tokio::time::sleep(BUSY_INTERVAL).await;
@@ -104,12 +113,22 @@
         }
     }
 
+    async fn give_orders(&self) {
+        loop {
+            self.order_due.notified().await;
+            while self.order().await {
+                self.report().await;
+            }
+        }
+    }
+
     fn now(&self) -> units::Timestamp {
         let micros = self.started.elapsed().as_micros();
         units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
     async fn report(&self) {
+        let _reporting = self.reporting.lock().await;
         let model = self.state.lock().model.clone();
         let report = self.orders.report(&model).await;
         let now = self.now();
@@ -168,7 +187,7 @@
         self.log_order(&order, sequence, &reply);
         let mut state = self.state.lock();
         match (&reply, &order) {
-            (Ok(engine::OrderReply::Accepted), slot_broker::AdapterOrder::Unload { name }) => {
+            (Ok(engine::OrderReply::Accepted), engine_report::AdapterOrder::Unload { name }) => {
                 state.broker.unloaded(name);
                 true
             }
@@ -182,7 +201,7 @@
 
     fn log_order(
         &self,
-        order: &slot_broker::AdapterOrder,
+        order: &engine_report::AdapterOrder,
         sequence: u64,
         reply: &Result<engine::OrderReply, engine::EngineError>,
     ) {
@@ -191,11 +210,11 @@
             Err(error) => error.to_string(),
         };
         let (event, adapter) = match order {
-            slot_broker::AdapterOrder::LoadModel => (events::MODEL_ORDERED, String::new()),
-            slot_broker::AdapterOrder::Load { name, version } => {
+            engine_report::AdapterOrder::LoadModel => (events::MODEL_ORDERED, String::new()),
+            engine_report::AdapterOrder::Load { name, version } => {
                 (events::ADAPTER_ORDERED, format!("{name}@{version}"))
             }
-            slot_broker::AdapterOrder::Unload { name } => (events::ADAPTER_EVICTED, name.clone()),
+            engine_report::AdapterOrder::Unload { name } => (events::ADAPTER_EVICTED, name.clone()),
         };
         slog::info!(self.logger, "order to the engine";
             "event" => event.number, "name" => event.name, "adapter" => adapter,
@@ -230,7 +249,7 @@
 
     async fn take_place(&self, call: message::PlaceCall) -> message::PlaceReply {
         let now = self.now();
-        let id = slot_broker::PlaceId {
+        let id = places::PlaceId {
             entry: call.entry,
             number: call.number,
         };
@@ -246,15 +265,18 @@
                     view: state.view(now),
                 };
             }
-            let request = slot_broker::PlaceRequest {
+            let request = places::PlaceRequest {
                 id,
-                adapter: call.adapter.map(|adapter| slot_broker::AdapterWant {
+                adapter: call.adapter.map(|adapter| places::AdapterWant {
                     name: adapter.name,
                     version: adapter.version,
                 }),
+                request: call.request,
                 priority: call.priority,
+                prompt_tokens: call.prompt_tokens,
+                output_tokens: call.output_tokens,
                 objective: now + call.objective,
-                deadline: now + call.wait,
+                deadline: now + call.deadline,
             };
             if let Some(outcome) = state.broker.ask(request, now) {
                 return message::PlaceReply {
@@ -270,8 +292,8 @@
             receiver
         };
         self.wake.notify_one();
-        let outcome = waiting.await.unwrap_or(slot_broker::PlaceOutcome::Refused {
-            reason: slot_broker::PlaceRefusal::Engine,
+        let outcome = waiting.await.unwrap_or(places::PlaceOutcome::Refused {
+            reason: places::PlaceRefusal::Engine,
             retry_after: time::Duration::ZERO,
         });
         let view = self.state.lock().view(self.now());
@@ -284,7 +306,7 @@
 
 impl EngineState {
     /// Tells waiting calls their outcomes; a place of a call that is gone is given up.
-    fn settle(&mut self, outcomes: Vec<(slot_broker::PlaceId, slot_broker::PlaceOutcome)>) {
+    fn settle(&mut self, outcomes: Vec<(places::PlaceId, places::PlaceOutcome)>) {
         for (id, outcome) in outcomes {
             let Some(position) = self.waiting.iter().position(|place| place.id == id) else {
                 continue;
@@ -298,7 +320,7 @@
 
     fn release(&mut self, entry: u64, numbers: &[u64], now: units::Timestamp) {
         for number in numbers {
-            let id = slot_broker::PlaceId {
+            let id = places::PlaceId {
                 entry,
                 number: *number,
             };
--- a/crates/broker/src/settings.rs
+++ b/crates/broker/src/settings.rs
@@ -26,7 +26,7 @@
 }
 
 fn default_unstarted() -> u32 {
-    8
+    2
 }
 
 fn default_parallel_loads() -> usize {
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -33,10 +33,13 @@
         entry: 1,
         number: 5,
         engine: setup(),
+        request: "request-5".to_owned(),
         adapter: None,
         priority: 0,
+        prompt_tokens: 100,
+        output_tokens: 10,
         objective: WAIT,
-        wait: WAIT,
+        deadline: WAIT,
         released: Vec::new(),
     };
     let now = units::Timestamp(0);
--- /dev/null
+++ b/crates/broker/tests/orders.rs
@@ -0,0 +1,109 @@
+//! Broker of an engine that leaves orders unanswered.
+
+use std::{sync::Arc, time};
+
+use broker::{engine, message, metrics, server, service::BrokerHandler, settings};
+use decisions::engine_report;
+use futures::future::BoxFuture;
+use telemetry::logs;
+
+/// Time for which an order stays unanswered.
+const UNANSWERED: time::Duration = time::Duration::from_secs(5);
+
+/// Engine that holds one adapter and never answers an order.
+struct SilentOrders;
+
+impl engine::EngineOrders for SilentOrders {
+    fn report(
+        &self,
+        _model: &str,
+    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
+        let held = engine_report::SlotContent {
+            name: "held".to_owned(),
+            version: 1,
+        };
+        let slots = engine_report::SlotReport {
+            incarnation: 1,
+            model: engine_report::ModelState::Held,
+            held: vec![held],
+            ..engine_report::SlotReport::default()
+        };
+        Box::pin(async move { Ok(engine::EngineReport { slots, sequence: 1 }) })
+    }
+
+    fn order(
+        &self,
+        _order: engine::FencedOrder,
+    ) -> BoxFuture<'_, Result<engine::OrderReply, engine::EngineError>> {
+        Box::pin(async {
+            tokio::time::sleep(UNANSWERED).await;
+            Err(engine::EngineError::Silent {
+                message: "no answer".to_owned(),
+            })
+        })
+    }
+}
+
+fn call(number: u64, adapter: &str) -> message::PlaceCall {
+    message::PlaceCall {
+        entry: 1,
+        number,
+        engine: message::EngineSetup {
+            name: message::EngineName {
+                id: "engine-0".to_owned(),
+                incarnation: 1,
+            },
+            size: message::EngineSize {
+                adapter_slots: 4,
+                batch_slots: 8,
+            },
+            model: "base".to_owned(),
+        },
+        request: format!("request-{number}"),
+        adapter: Some(message::NeededAdapter {
+            name: adapter.to_owned(),
+            version: 0,
+        }),
+        priority: 1,
+        prompt_tokens: 100,
+        output_tokens: 10,
+        objective: time::Duration::from_secs(1),
+        deadline: time::Duration::from_secs(20),
+        released: Vec::new(),
+    }
+}
+
+// Guards against requests that wait for places at a free engine while an order to it is unanswered.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_order_holds_up_no_place() {
+    let settings = settings::BrokerSettings {
+        instance: "side-0".to_owned(),
+        data_centre: "north".to_owned(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        engine: None,
+        metrics: None,
+        unstarted: 1,
+        parallel_loads: 1,
+    };
+    let metrics = metrics::BrokerMetrics::new().unwrap();
+    let logger = logs::discard_logger();
+    let broker = server::EngineBroker::new(settings, Box::new(SilentOrders), logger, metrics);
+    let broker = Arc::new(broker);
+    let served = Arc::clone(&broker);
+    let task = tokio::spawn(async move { served.run().await });
+    let ordering = Arc::clone(&broker);
+    let cold = tokio::spawn(async move { ordering.place(call(1, "missing")).await });
+    // The order for the missing adapter is under way by then.
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    let asked = tokio::time::Instant::now();
+    for number in 2..5 {
+        let reply = broker.place(call(number, "held")).await;
+        assert_eq!(
+            reply.answer,
+            message::PlaceAnswer::Granted { version: Some(1) }
+        );
+    }
+    assert!(asked.elapsed() < UNANSWERED / 2, "{:?}", asked.elapsed());
+    cold.abort();
+    task.abort();
+}
--- /dev/null
+++ b/crates/decisions/src/adapter_slots.rs
@@ -0,0 +1,238 @@
+//! Adapter slots of one engine.
+//!
+//! Slots count what is held, what is on its way and newer versions beside the ones that they
+//! replace. An adapter makes way only while no place holds it, the least recently used one first.
+
+use std::{collections::VecDeque, time};
+
+use crate::{engine_report, places, units};
+
+/// Adapters that the engine is assumed to load quickly again.
+const RECENT_ADAPTERS: usize = 30;
+/// Time after which a load that is not reported is ordered again.
+const LOAD_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Wait before an adapter whose load was refused is ordered again.
+pub const LOAD_BACKOFF: time::Duration = time::Duration::from_millis(300);
+
+#[derive(Debug)]
+struct Slot {
+    content: engine_report::SlotContent,
+    places: u32,
+    used_at: units::Timestamp,
+}
+
+#[derive(Debug)]
+struct Loading {
+    name: String,
+    ordered_at: units::Timestamp,
+}
+
+/// Slots of one engine.
+#[derive(Debug, Default)]
+pub struct AdapterSlots {
+    /// Sorted by name.
+    slots: Vec<Slot>,
+    loading: Vec<Loading>,
+    /// Adapters whose load was refused, and until when they wait.
+    refused: Vec<(String, units::Timestamp)>,
+    recent: VecDeque<String>,
+}
+
+impl AdapterSlots {
+    /// Takes the engine's report. `places_of` counts the places that hold an adapter.
+    pub fn observe(
+        &mut self,
+        report: &engine_report::SlotReport,
+        places_of: impl Fn(&str) -> u32,
+        now: units::Timestamp,
+    ) {
+        self.loading.retain(|loading| {
+            let is_coming = report
+                .coming
+                .iter()
+                .any(|content| content.name == loading.name);
+            is_coming || now.since(loading.ordered_at) < LOAD_LIMIT
+        });
+        self.adopt(&report.held, places_of, now);
+        self.adopt_coming(&report.coming, now);
+        self.refused.retain(|(_, until)| now < *until);
+    }
+
+    /// Forgets everything, because the engine restarted empty.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Whether an adapter can be used in the wanted version.
+    #[must_use]
+    pub fn is_usable(&self, want: &places::AdapterWant) -> bool {
+        let held = self.find(&want.name).ok();
+        held.is_some_and(|position| {
+            !self.is_loading(&want.name) && self.slots[position].content.version >= want.version
+        })
+    }
+
+    /// Whether an adapter is held in any version or on its way.
+    #[must_use]
+    pub fn is_present(&self, name: &str) -> bool {
+        self.is_loading(name) || self.find(name).is_ok()
+    }
+
+    /// Whether an adapter may be ordered now.
+    #[must_use]
+    pub fn is_due(&self, want: &places::AdapterWant, now: units::Timestamp) -> bool {
+        let is_refused = self
+            .refused
+            .iter()
+            .any(|(name, until)| *name == want.name && now < *until);
+        !is_refused && !self.is_loading(&want.name) && !self.is_usable(want)
+    }
+
+    /// Holds an adapter for one more place; its version if it is in a slot.
+    pub fn take(&mut self, name: &str, now: units::Timestamp) -> Option<u32> {
+        let position = self.find(name).ok()?;
+        let slot = &mut self.slots[position];
+        slot.places += 1;
+        slot.used_at = now;
+        Some(slot.content.version)
+    }
+
+    /// Gives an adapter up for one place.
+    pub fn release(&mut self, name: &str, now: units::Timestamp) {
+        if let Ok(position) = self.find(name) {
+            let slot = &mut self.slots[position];
+            slot.places = slot.places.saturating_sub(1);
+            slot.used_at = now;
+        }
+    }
+
+    /// Idle adapter that makes way for another one: the one that was used least recently and that
+    /// nobody waits for, or the older version of the wanted one itself.
+    #[must_use]
+    pub fn evictable(
+        &self,
+        want: &places::AdapterWant,
+        is_wanted: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        let idle = || self.slots.iter().filter(|slot| slot.places == 0);
+        let other = idle()
+            .filter(|slot| !is_wanted(&slot.content.name))
+            .min_by_key(|slot| slot.used_at);
+        let own = || idle().find(|slot| slot.content.name == want.name);
+        other.or_else(own).map(|slot| slot.content.name.clone())
+    }
+
+    /// Notes that a load was ordered.
+    pub fn ordered(&mut self, name: &str, now: units::Timestamp) {
+        self.loading.push(Loading {
+            name: name.to_owned(),
+            ordered_at: now,
+        });
+    }
+
+    /// Notes that the engine refused a load, or that its answer was lost.
+    pub fn order_failed(&mut self, name: &str, now: units::Timestamp) {
+        self.loading.retain(|loading| loading.name != name);
+        self.refused.retain(|(held, _)| held != name);
+        self.refused.push((name.to_owned(), now + LOAD_BACKOFF));
+    }
+
+    /// Notes that the engine has dropped an adapter.
+    pub fn unloaded(&mut self, name: &str) {
+        if let Ok(position) = self.find(name) {
+            self.slots.remove(position);
+        }
+        self.remember(name);
+    }
+
+    /// Slots that are held or that loads will take. A newer version takes one of its own until it
+    /// replaces the held one.
+    #[must_use]
+    pub fn taken(&self) -> usize {
+        self.slots.len() + self.loading.len()
+    }
+
+    /// Loads under way.
+    #[must_use]
+    pub fn loads(&self) -> usize {
+        self.loading.len()
+    }
+
+    /// Slots whose adapter no place holds.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.slots.iter().filter(|slot| slot.places == 0).count()
+    }
+
+    /// Adapters in slots, sorted by name.
+    pub fn held(&self) -> impl Iterator<Item = &engine_report::SlotContent> {
+        self.slots.iter().map(|slot| &slot.content)
+    }
+
+    /// Names of adapters that the engine held recently.
+    pub fn recent(&self) -> impl Iterator<Item = &str> {
+        self.recent.iter().map(String::as_str)
+    }
+
+    fn is_loading(&self, name: &str) -> bool {
+        self.loading.iter().any(|loading| loading.name == name)
+    }
+
+    fn adopt(
+        &mut self,
+        held: &[engine_report::SlotContent],
+        places_of: impl Fn(&str) -> u32,
+        now: units::Timestamp,
+    ) {
+        let gone: Vec<String> = self
+            .slots
+            .iter()
+            .filter(|slot| !held.iter().any(|content| content.name == slot.content.name))
+            .map(|slot| slot.content.name.clone())
+            .collect();
+        for name in gone {
+            self.unloaded(&name);
+        }
+        for content in held {
+            match self.find(&content.name) {
+                Ok(position) if self.slots[position].content.version < content.version => {
+                    self.slots[position].content.version = content.version;
+                    self.loading.retain(|loading| loading.name != content.name);
+                }
+                Ok(_) => {}
+                Err(position) => {
+                    self.loading.retain(|loading| loading.name != content.name);
+                    self.recent.retain(|name| *name != content.name);
+                    let slot = Slot {
+                        content: content.clone(),
+                        places: places_of(&content.name),
+                        used_at: now,
+                    };
+                    self.slots.insert(position, slot);
+                }
+            }
+        }
+    }
+
+    /// Counts loads that an earlier broker of this engine has ordered.
+    fn adopt_coming(&mut self, coming: &[engine_report::SlotContent], now: units::Timestamp) {
+        for content in coming {
+            if !self.is_loading(&content.name) {
+                self.ordered(&content.name, now);
+            }
+        }
+    }
+
+    fn remember(&mut self, name: &str) {
+        self.recent.retain(|held| held != name);
+        self.recent.push_back(name.to_owned());
+        if self.recent.len() > RECENT_ADAPTERS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.slots
+            .binary_search_by(|slot| slot.content.name.as_str().cmp(name))
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every function takes the current time as an argument and every random choice comes from a
 //! generator that the caller seeds, so the same inputs always give the same choices.
 
+pub mod adapter_slots;
 pub mod admission;
 pub mod answer_length;
 pub mod attempt_budget;
@@ -14,6 +15,8 @@
 pub mod claims;
 pub mod endpoint_state;
 pub mod endpoint_table;
+pub mod engine_pace;
+pub mod engine_report;
 pub mod eviction;
 pub mod failure_rate;
 pub mod fifo_queue;
@@ -25,6 +28,8 @@
 pub mod load_times;
 pub mod membership;
 pub mod peer_times;
+pub mod place_table;
+pub mod places;
 pub mod queueing;
 pub mod replica_choice;
 pub mod request_table;
@@ -33,7 +38,6 @@
 mod service_time;
 pub mod slot_broker;
 pub mod slots;
-pub mod start_times;
 pub mod stragglers;
 pub mod units;
 pub mod wait_routing;
--- /dev/null
+++ b/crates/decisions/src/places.rs
@@ -0,0 +1,63 @@
+//! Requests for places at an engine and what becomes of them.
+
+use std::time;
+
+use crate::units;
+
+/// Place of one request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PlaceId {
+    /// Incarnation of the entry.
+    pub entry: u64,
+    pub number: u64,
+}
+
+/// Adapter with the lowest version that will do.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AdapterWant {
+    pub name: String,
+    /// 0 for any version.
+    pub version: u32,
+}
+
+/// Request for a place.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlaceRequest {
+    pub id: PlaceId,
+    /// Name of the request in the engine's reports.
+    pub request: String,
+    pub adapter: Option<AdapterWant>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    pub prompt_tokens: u32,
+    /// Expected length of the answer.
+    pub output_tokens: u32,
+    /// The request is on time if it begins by then.
+    pub objective: units::Timestamp,
+    /// The request is of no use to its caller if it ends later.
+    pub deadline: units::Timestamp,
+}
+
+/// Reason why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlaceRefusal {
+    /// The prompts ahead take longer than the request can wait.
+    Backlog,
+    /// All slots are taken by adapters in use.
+    Slots,
+    /// The adapter did not arrive in time.
+    Late,
+    /// The engine restarted or cannot be reached.
+    Engine,
+}
+
+/// Outcome of a request for a place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlaceOutcome {
+    /// The adapter's version in the slot, if the request names an adapter.
+    Granted { version: Option<u32> },
+    Refused {
+        reason: PlaceRefusal,
+        retry_after: time::Duration,
+    },
+}
--- a/crates/decisions/src/units.rs
+++ b/crates/decisions/src/units.rs
@@ -33,6 +33,13 @@
     pub fn since(self, earlier: Self) -> time::Duration {
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Time that lies a duration earlier, the start of the process at the earliest.
+    #[must_use]
+    pub fn before(self, duration: time::Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl ops::Add<time::Duration> for Timestamp {
--- a/crates/decisions/tests/slot_broker.rs
+++ b/crates/decisions/tests/slot_broker.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use decisions::{slot_broker::*, units};
+use decisions::{engine_report::*, places::*, slot_broker::*, units};
 use test_case::test_case;
 
 const LIMITS: BrokerLimits = BrokerLimits {
@@ -26,7 +26,7 @@
 fn report(names: &[&str]) -> SlotReport {
     SlotReport {
         incarnation: 7,
-        has_model: true,
+        model: ModelState::Held,
         held: names.iter().map(|name| held(name, 1)).collect(),
         ..SlotReport::default()
     }
@@ -39,7 +39,10 @@
             name: adapter.to_owned(),
             version,
         }),
+        request: format!("request-{number}"),
         priority: 1,
+        prompt_tokens: 2000,
+        output_tokens: 10,
         objective: at(800),
         deadline: at(4000),
     }
@@ -71,7 +74,7 @@
     let mut broker = SlotBroker::new(LIMITS);
     let empty = SlotReport {
         incarnation: 7,
-        is_empty: true,
+        model: ModelState::Empty,
         ..SlotReport::default()
     };
     broker.observe(&empty, at(0));
@@ -106,13 +109,13 @@
 
 // Guards against a model load into an engine that holds another one or carries out an order, which
 // would take more memory than the engine has.
-#[test_case(false, false; "another model is held")]
-#[test_case(true, true; "an order is being carried out")]
-fn no_model_is_ordered(is_empty: bool, is_busy: bool) {
+#[test_case(ModelState::Other, false; "another model is held")]
+#[test_case(ModelState::Empty, true; "an order is being carried out")]
+fn no_model_is_ordered(model: ModelState, is_busy: bool) {
     let mut broker = SlotBroker::new(LIMITS);
     let report = SlotReport {
         incarnation: 7,
-        is_empty,
+        model,
         is_busy,
         ..SlotReport::default()
     };
@@ -144,7 +147,9 @@
         let granted = broker.ask(request(number, name, 0), at(0));
         assert_eq!(granted, Some(PlaceOutcome::Granted { version: Some(1) }));
     }
-    let refused = broker.ask(request(4, "d", 0), at(0));
+    let mut urgent = request(4, "d", 0);
+    urgent.objective = at(300);
+    let refused = broker.ask(urgent, at(0));
     assert!(matches!(
         refused,
         Some(PlaceOutcome::Refused {
@@ -253,6 +258,19 @@
     assert_eq!(broker.entries(at(3000)), 1);
 }
 
+// Guards against calls that are kept for good because their entry fell silent while they waited.
+#[test]
+fn waits_of_a_silent_entry_are_refused() {
+    let mut broker = broker(&["a"]);
+    assert_eq!(broker.ask(request(1, "b", 0), at(0)), None);
+    broker.heard(2, at(3000));
+    let outcomes = broker.decide(at(3000));
+    assert!(matches!(
+        outcomes.as_slice(),
+        [(PlaceId { number: 1, .. }, PlaceOutcome::Refused { .. })]
+    ));
+}
+
 /// Report of an engine with unstarted requests.
 fn reading(unstarted: u32) -> SlotReport {
     SlotReport {
@@ -359,3 +377,133 @@
         )]
     ));
 }
+
+/// Report of an engine that names started requests.
+fn running(names: &[&str], numbers: &[u64]) -> SlotReport {
+    let started = numbers.iter().map(|number| StartedRequest {
+        request: format!("request-{number}"),
+        tokens: 2001,
+    });
+    SlotReport {
+        started: started.collect(),
+        ..report(names)
+    }
+}
+
+// Guards against slots that stay taken by requests that have ended until their entries' next calls,
+// while callers are refused for want of a slot.
+#[test]
+fn the_place_of_an_ended_request_is_given_up() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name) in [(1, "a"), (2, "b"), (3, "c")] {
+        broker.ask(request(number, name, 0), at(0));
+    }
+    broker.observe(&running(&["a", "b", "c"], &[1, 2, 3]), at(100));
+    assert_eq!(broker.room(), 0);
+    broker.observe(&running(&["a", "b", "c"], &[1, 3]), at(120));
+    assert_eq!((broker.room(), broker.running()), (1, 2));
+}
+
+// Guards against an eviction beneath a request that the engine has put back for want of memory.
+#[test]
+fn a_request_that_was_put_back_keeps_its_place() {
+    let mut broker = broker(&["a"]);
+    broker.ask(request(1, "a", 0), at(0));
+    broker.observe(&running(&["a"], &[1]), at(100));
+    let short = SlotReport {
+        is_memory_short: true,
+        unstarted: 1,
+        ..report(&["a"])
+    };
+    broker.observe(&short, at(120));
+    assert_eq!(broker.running(), 1);
+}
+
+// Guards against a place that is never given up because its request started and ended between two
+// reports and its entry was killed.
+#[test]
+fn a_request_that_was_never_named_ends_once_the_engine_is_empty() {
+    let mut broker = broker(&["a"]);
+    broker.ask(request(1, "a", 0), at(0));
+    broker.observe(&reading(1), at(300));
+    assert_eq!(broker.running(), 1);
+    broker.observe(&reading(0), at(320));
+    assert_eq!(broker.running(), 0);
+}
+
+// Guards against refusals for want of a slot although one becomes free within the objective. Plays
+// an engine whose three slots are in use by requests of which one ends after 150 ms.
+#[test]
+fn a_request_waits_for_a_slot_that_is_expected_in_time() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name) in [(1, "a"), (2, "b"), (3, "c")] {
+        broker.ask(request(number, name, 0), at(0));
+    }
+    broker.observe(&running(&["a", "b", "c"], &[1, 2, 3]), at(100));
+    assert_eq!(broker.ask(request(4, "d", 0), at(100)), None);
+    assert_eq!(broker.next_order(at(100)), None);
+    broker.observe(&running(&["a", "b", "c"], &[2, 3]), at(150));
+    assert_eq!(broker.next_order(at(150)), Some(unload("a")));
+    broker.unloaded("a");
+    assert_eq!(broker.next_order(at(150)), Some(load("d")));
+    let outcomes = broker.observe(&running(&["b", "c", "d"], &[2, 3]), at(450));
+    assert_eq!(granted(&outcomes), [4]);
+}
+
+// Guards against callers that are held for a slot that does not become free.
+#[test]
+fn a_wait_for_a_slot_ends_with_the_objective() {
+    let mut broker = broker(&["a", "b", "c"]);
+    for (number, name) in [(1, "a"), (2, "b"), (3, "c")] {
+        broker.ask(request(number, name, 0), at(0));
+    }
+    let all = running(&["a", "b", "c"], &[1, 2, 3]);
+    broker.observe(&all, at(100));
+    assert_eq!(broker.ask(request(4, "d", 0), at(100)), None);
+    assert!(broker.observe(&all, at(790)).is_empty());
+    let outcomes = broker.observe(&all, at(800));
+    assert!(matches!(
+        outcomes.as_slice(),
+        [(
+            _,
+            PlaceOutcome::Refused {
+                reason: PlaceRefusal::Slots,
+                ..
+            }
+        )]
+    ));
+}
+
+// Guards against prompts that are read for nothing: the answer could not end before its caller has
+// left. Plays an engine that makes a token every 80 ms.
+#[test]
+fn a_request_that_cannot_end_in_time_is_refused_at_once() {
+    let mut broker = broker(&["a"]);
+    broker.ask(request(1, "a", 0), at(0));
+    for step in 1..200_u64 {
+        let mut report = running(&["a"], &[1]);
+        report.started[0].tokens += step;
+        broker.heard(1, at(step * 80));
+        broker.observe(&report, at(step * 80));
+    }
+    let now = at(16_000);
+    let mut short = request(2, "a", 0);
+    short.objective = now + time::Duration::from_millis(800);
+    short.deadline = now + time::Duration::from_secs(4);
+    let mut long = short.clone();
+    long.id.number = 3;
+    long.output_tokens = 60;
+    let refused = broker.ask(long, now);
+    assert!(
+        matches!(
+            refused,
+            Some(PlaceOutcome::Refused {
+                reason: PlaceRefusal::Backlog,
+                ..
+            })
+        ),
+        "{refused:?}"
+    );
+    let granted = broker.ask(short, now);
+    assert!(matches!(granted, Some(PlaceOutcome::Granted { .. })));
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,6 +12,17 @@
     pub adapter: Option<String>,
     pub prompt_tokens: u32,
     pub max_output_tokens: u32,
+    /// Length of the answer that the caller expects, often wrong.
+    pub expected_tokens: Option<u32>,
+}
+
+impl GenerationNeed {
+    /// Expected length of the answer.
+    #[must_use]
+    pub fn answer_tokens(&self) -> u32 {
+        let expected = self.expected_tokens.unwrap_or(self.max_output_tokens);
+        expected.min(self.max_output_tokens)
+    }
 }
 
 /// Caller's request, decoded from its head.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -22,8 +22,6 @@
 const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
 /// Time from the begin of a request at an engine to its first event at the caller.
 const FIRST_EVENT_TIME: time::Duration = time::Duration::from_millis(60);
-/// Part of the time left that a request waits for its adapter at one engine.
-const PLACE_WAIT_PART: f64 = 0.6;
 /// Engines that are asked for a place.
 const MAX_PLACES: usize = 3;
 /// Replicas that are tried in vain for a connection.
@@ -394,6 +392,7 @@
         number: u64,
     ) -> message::PlaceCall {
         let need = plan.request.generation.clone().unwrap_or_default();
+        let output_tokens = need.answer_tokens();
         message::PlaceCall {
             entry: self.incarnation,
             number,
@@ -402,9 +401,12 @@
                 name,
                 version: plan.adapter_version,
             }),
+            request: plan.request.id.clone(),
             priority: plan.route.priority,
+            prompt_tokens: need.prompt_tokens,
+            output_tokens,
             objective: plan.objective_left().saturating_sub(FIRST_EVENT_TIME),
-            wait: plan.time_left().mul_f64(PLACE_WAIT_PART),
+            deadline: plan.time_left(),
             released: Vec::new(),
         }
     }
