Read one prompt at a time and tell adapters on their way

Entries did not know which adapters were on their way, and told a place given up with their next call only. Requests of the lowest priority were held until their callers left (348 of 1,332).

Change: a broker's view names the adapters on their way and the wait for a slot, which replaces a fixed cost. Places are given up within 60 ms. A refused model order is repeated after 300 ms. An engine has one unstarted request. A request that cannot begin before its caller leaves is refused at once.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -79,6 +79,12 @@
         self.state.lock().released.push(number);
     }
 
+    /// Whether places are given up of which the broker has not been told.
+    #[must_use]
+    pub fn has_released(&self) -> bool {
+        !self.state.lock().released.is_empty()
+    }
+
     /// Asks for a place.
     ///
     /// # Errors
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -54,6 +54,8 @@
     pub output_tokens: u32,
     /// Time by which the request must begin to be on time.
     pub objective: time::Duration,
+    /// Time by which it must begin, because its caller leaves otherwise.
+    pub begin_limit: time::Duration,
     /// Time by which its answer must have ended.
     pub deadline: time::Duration,
     /// Places that the entry gives up.
@@ -92,10 +94,12 @@
     pub has_model: bool,
     /// Name and version of the adapters in slots.
     pub held: Vec<(String, u32)>,
+    /// Names of adapters on their way into slots.
+    pub coming: Vec<String>,
     /// Names of adapters that the engine held recently.
     pub recent: Vec<String>,
-    /// Slots that a further adapter may take.
-    pub room: u32,
+    /// Time until a slot can take a further adapter.
+    pub slot_wait: time::Duration,
     /// Time until the engine would begin another prompt.
     pub backlog: time::Duration,
     pub running: u32,
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -276,6 +276,7 @@
                 prompt_tokens: call.prompt_tokens,
                 output_tokens: call.output_tokens,
                 objective: now + call.objective,
+                begin_limit: now + call.begin_limit,
                 deadline: now + call.deadline,
             };
             if let Some(outcome) = state.broker.ask(request, now) {
@@ -337,8 +338,9 @@
             held: held
                 .map(|content| (content.name.clone(), content.version))
                 .collect(),
+            coming: self.broker.coming(),
             recent: self.broker.recent().map(str::to_owned).collect(),
-            room: count(self.broker.room()),
+            slot_wait: self.broker.slot_wait(),
             backlog: self.broker.backlog(now),
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
--- a/crates/broker/src/settings.rs
+++ b/crates/broker/src/settings.rs
@@ -26,7 +26,7 @@
 }
 
 fn default_unstarted() -> u32 {
-    2
+    1
 }
 
 fn default_parallel_loads() -> usize {
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -39,6 +39,7 @@
         prompt_tokens: 100,
         output_tokens: 10,
         objective: WAIT,
+        begin_limit: WAIT,
         deadline: WAIT,
         released: Vec::new(),
     };
@@ -70,3 +71,12 @@
         .unwrap_err();
     assert!(!error.is_silent(), "{error}");
 }
+
+// Guards against places that are given up only with the next request to the same broker.
+#[test]
+fn a_place_that_is_given_up_is_due_to_be_told() {
+    let client = BrokerClient::new("127.0.0.1:9".parse().unwrap());
+    assert!(!client.has_released());
+    client.release(5);
+    assert!(client.has_released());
+}
--- a/crates/broker/tests/orders.rs
+++ b/crates/broker/tests/orders.rs
@@ -68,6 +68,7 @@
         prompt_tokens: 100,
         output_tokens: 10,
         objective: time::Duration::from_secs(1),
+        begin_limit: time::Duration::from_secs(20),
         deadline: time::Duration::from_secs(20),
         released: Vec::new(),
     }
--- a/crates/decisions/src/adapter_slots.rs
+++ b/crates/decisions/src/adapter_slots.rs
@@ -169,6 +169,11 @@
         self.slots.iter().map(|slot| &slot.content)
     }
 
+    /// Names of adapters on their way.
+    pub fn coming(&self) -> impl Iterator<Item = &str> {
+        self.loading.iter().map(|loading| loading.name.as_str())
+    }
+
     /// Names of adapters that the engine held recently.
     pub fn recent(&self) -> impl Iterator<Item = &str> {
         self.recent.iter().map(String::as_str)
--- a/crates/decisions/src/places.rs
+++ b/crates/decisions/src/places.rs
@@ -34,6 +34,8 @@
     pub output_tokens: u32,
     /// The request is on time if it begins by then.
     pub objective: units::Timestamp,
+    /// The caller leaves if the request has not begun by then.
+    pub begin_limit: units::Timestamp,
     /// The request is of no use to its caller if it ends later.
     pub deadline: units::Timestamp,
 }
--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -10,10 +10,10 @@
 
 /// Load of an adapter from the weight store, while the store is not crowded.
 const COLD_LOAD: time::Duration = time::Duration::from_millis(280);
+/// Rest of a load that is under way.
+const COMING_LOAD: time::Duration = time::Duration::from_millis(150);
 /// Load of an adapter that the replica held recently.
 const WARM_LOAD: time::Duration = time::Duration::from_millis(40);
-/// Wait for a slot at a replica whose adapters are all in use.
-const CROWDED: time::Duration = time::Duration::from_millis(900);
 /// Added for a replica in another data centre, whose traffic is dear.
 const REMOTE: time::Duration = time::Duration::from_millis(25);
 /// Added for each replica that ranks before this one, unless it holds the adapter.
@@ -33,6 +33,8 @@
 pub enum AdapterPlace {
     /// In a slot of the replica, or not needed.
     Held,
+    /// On its way into a slot, or about to be ordered for another request.
+    Coming,
     /// The replica held it recently.
     Warm,
     /// In the weight store.
@@ -79,8 +81,8 @@
     pub adapter: AdapterPlace,
     pub readiness: EngineReadiness,
     pub share: LengthShare,
-    /// A slot is free or its adapter is idle.
-    pub has_room: bool,
+    /// Time until a slot can take the adapter.
+    pub slot_wait: time::Duration,
     /// Time until the replica would begin another request.
     pub backlog: time::Duration,
     pub is_local: bool,
@@ -107,16 +109,19 @@
         cost + self.load_cost()
     }
 
+    /// Cost of a slot that the adapter does not have yet.
+    fn slot_cost(&self) -> time::Duration {
+        self.slot_wait + RANK_STEP * self.rank.min(MAX_RANK)
+    }
+
     fn load_cost(&self) -> time::Duration {
         let load = match self.adapter {
             AdapterPlace::Held => return time::Duration::ZERO,
-            AdapterPlace::Warm => WARM_LOAD,
-            AdapterPlace::Cold => COLD_LOAD,
+            AdapterPlace::Coming => COMING_LOAD,
+            AdapterPlace::Warm => WARM_LOAD + self.slot_cost(),
+            AdapterPlace::Cold => COLD_LOAD + self.slot_cost(),
         };
-        let mut cost = load + RANK_STEP * self.rank.min(MAX_RANK);
-        if !self.has_room {
-            cost += CROWDED;
-        }
+        let mut cost = load;
         if self.readiness == EngineReadiness::NoBroker {
             cost += UNORDERED;
         }
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -66,7 +66,8 @@
     has_model: bool,
     /// A model may be ordered: the engine is empty and carries out no order.
     can_load_model: bool,
-    model_ordered_at: Option<units::Timestamp>,
+    /// When the model may be ordered again.
+    model_due_at: units::Timestamp,
     slots: adapter_slots::AdapterSlots,
     waiting: Vec<places::PlaceRequest>,
     places: place_table::PlaceTable,
@@ -84,7 +85,7 @@
             is_known: false,
             has_model: false,
             can_load_model: false,
-            model_ordered_at: None,
+            model_due_at: units::Timestamp::default(),
             slots: adapter_slots::AdapterSlots::default(),
             waiting: Vec::new(),
             places: place_table::PlaceTable::default(),
@@ -127,19 +128,19 @@
         if !self.has_model {
             return Some(NO_MODEL);
         }
-        let backlog = self.backlog(now);
-        if now + backlog >= self.latest_start(&request) {
+        let ahead = self.ahead(&request, now);
+        if now + ahead >= self.latest_start(&request) {
             return Some(places::PlaceOutcome::Refused {
                 reason: places::PlaceRefusal::Backlog,
-                retry_after: backlog / 2,
+                retry_after: ahead / 2,
             });
         }
         if self.is_startable(&request) {
             return self.grant_or_wait(request, now);
         }
         if let Some(want) = &request.adapter {
-            let wait = self.slot_wait(want);
-            let is_slot_in_time = now + wait + LOAD_TIME + backlog <= request.objective;
+            let wait = self.wait_for(want);
+            let is_slot_in_time = now + wait + LOAD_TIME + ahead <= request.objective;
             if !wait.is_zero() && !is_slot_in_time {
                 return Some(places::PlaceOutcome::Refused {
                     reason: places::PlaceRefusal::Slots,
@@ -244,8 +245,12 @@
 
     /// Notes that the engine refused an order, or that its answer was lost.
     pub fn order_failed(&mut self, order: &engine_report::AdapterOrder, now: units::Timestamp) {
-        if let engine_report::AdapterOrder::Load { name, .. } = order {
-            self.slots.order_failed(name, now);
+        match order {
+            engine_report::AdapterOrder::LoadModel => {
+                self.model_due_at = now + adapter_slots::LOAD_BACKOFF;
+            }
+            engine_report::AdapterOrder::Load { name, .. } => self.slots.order_failed(name, now),
+            engine_report::AdapterOrder::Unload { .. } => {}
         }
     }
 
@@ -261,12 +266,7 @@
             .waiting
             .iter()
             .filter(|request| !self.is_late(request, now));
-        let waiting: u64 = timely.map(|request| u64::from(request.prompt_tokens)).sum();
-        let beyond = (self.places.len() + 1).saturating_sub(self.limits.batch_slots);
-        let beyond = u64::try_from(beyond).unwrap_or(u64::MAX);
-        let beyond = self.places.mean_tokens().saturating_mul(beyond);
-        let tokens = self.places.unstarted_tokens() + waiting;
-        self.pace.read_time(tokens.saturating_add(beyond))
+        self.time_behind(timely)
     }
 
     /// Adapters in slots, sorted by name.
@@ -274,6 +274,27 @@
         self.slots.held()
     }
 
+    /// Names of adapters that are on their way or that waiting requests need.
+    #[must_use]
+    pub fn coming(&self) -> Vec<String> {
+        let wants = self
+            .waiting
+            .iter()
+            .filter_map(|request| request.adapter.as_ref());
+        let wanted = wants
+            .map(|want| want.name.as_str())
+            .filter(|name| !self.slots.is_present(name));
+        let mut names: Vec<String> = self
+            .slots
+            .coming()
+            .chain(wanted)
+            .map(str::to_owned)
+            .collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
     /// Names of adapters that the engine held recently.
     pub fn recent(&self) -> impl Iterator<Item = &str> {
         self.slots.recent()
@@ -285,6 +306,16 @@
         self.free_slots().saturating_sub(self.distinct_wants())
     }
 
+    /// Expected time until a slot can take a further adapter; zero if one can now.
+    #[must_use]
+    pub fn slot_wait(&self) -> time::Duration {
+        let wanted = self.distinct_wants() + 1;
+        let missing = wanted.saturating_sub(self.free_slots());
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+        let slots = u32::try_from(self.limits.adapter_slots.max(1)).unwrap_or(u32::MAX);
+        (self.places.stay() / slots).saturating_mul(missing)
+    }
+
     /// Places that are taken.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -309,13 +340,10 @@
     }
 
     fn model_order(&mut self, now: units::Timestamp) -> Option<engine_report::AdapterOrder> {
-        let is_ordered = self
-            .model_ordered_at
-            .is_some_and(|at| now.since(at) < MODEL_LIMIT);
-        if is_ordered || !self.can_load_model {
+        if now < self.model_due_at || !self.can_load_model {
             return None;
         }
-        self.model_ordered_at = Some(now);
+        self.model_due_at = now + MODEL_LIMIT;
         Some(engine_report::AdapterOrder::LoadModel)
     }
 
@@ -352,11 +380,34 @@
         self.pace.read_time(u64::from(request.prompt_tokens))
     }
 
-    /// Latest time at which the engine must begin a request's prompt so that its answer ends within
-    /// the deadline.
+    /// Latest time at which the engine must begin a request's prompt so that its caller is still
+    /// there and its answer ends within the deadline.
     fn latest_start(&self, request: &places::PlaceRequest) -> units::Timestamp {
         let answer = self.pace.answer_time(request.output_tokens);
-        request.deadline.before(answer + self.prompt_time(request))
+        let first_event = request.begin_limit.min(request.deadline.before(answer));
+        first_event.before(self.prompt_time(request))
+    }
+
+    /// Time until the engine would begin a request, behind those that wait before it.
+    fn ahead(&self, request: &places::PlaceRequest, now: units::Timestamp) -> time::Duration {
+        let order = self.order(request, now);
+        let before = self
+            .waiting
+            .iter()
+            .filter(|held| self.order(held, now) <= order);
+        self.time_behind(before)
+    }
+
+    fn time_behind<'a>(
+        &self,
+        waiting: impl Iterator<Item = &'a places::PlaceRequest>,
+    ) -> time::Duration {
+        let waiting: u64 = waiting.map(|held| u64::from(held.prompt_tokens)).sum();
+        let beyond = (self.places.len() + 1).saturating_sub(self.limits.batch_slots);
+        let beyond = u64::try_from(beyond).unwrap_or(u64::MAX);
+        let beyond = self.places.mean_tokens().saturating_mul(beyond);
+        let tokens = self.places.unstarted_tokens() + waiting;
+        self.pace.read_time(tokens.saturating_add(beyond))
     }
 
     /// Whether the engine can begin another prompt.
@@ -431,16 +482,11 @@
             .any(|want| want.name == name)
     }
 
-    /// Expected time until a slot can take an adapter; zero if one can now.
-    fn slot_wait(&self, want: &places::AdapterWant) -> time::Duration {
+    fn wait_for(&self, want: &places::AdapterWant) -> time::Duration {
         if self.slots.is_present(&want.name) || self.is_wanted(&want.name) {
             return time::Duration::ZERO;
         }
-        let wanted = self.distinct_wants() + 1;
-        let missing = wanted.saturating_sub(self.free_slots());
-        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
-        let slots = u32::try_from(self.limits.adapter_slots.max(1)).unwrap_or(u32::MAX);
-        (self.places.stay() / slots).saturating_mul(missing)
+        self.slot_wait()
     }
 
     fn free_slots(&self) -> usize {
@@ -484,7 +530,7 @@
         self.incarnation = incarnation;
         self.has_model = false;
         self.can_load_model = false;
-        self.model_ordered_at = None;
+        self.model_due_at = units::Timestamp::default();
         self.slots.clear();
         self.places = place_table::PlaceTable::default();
         self.pace = engine_pace::EnginePace::default();
--- a/crates/decisions/tests/replica_choice.rs
+++ b/crates/decisions/tests/replica_choice.rs
@@ -11,7 +11,7 @@
     adapter: AdapterPlace::Held,
     readiness: EngineReadiness::Ready,
     share: LengthShare::Own,
-    has_room: true,
+    slot_wait: time::Duration::ZERO,
     backlog: time::Duration::ZERO,
     is_local: true,
     failures: 0.0,
@@ -47,7 +47,7 @@
 }
 
 // Guards against a choice that each of these must overrule.
-#[test_case(ReplicaOption { has_room: false, ..cold(0) }; "all slots in use")]
+#[test_case(ReplicaOption { slot_wait: time::Duration::from_millis(300), ..cold(0) }; "all slots in use")]
 #[test_case(ReplicaOption { readiness: EngineReadiness::NoModel, ..cold(0) }; "no base model")]
 #[test_case(ReplicaOption { readiness: EngineReadiness::NoBroker, ..cold(0) }; "nobody to order")]
 #[test_case(ReplicaOption { failures: 0.5, ..cold(0) }; "half of the requests fail")]
@@ -118,3 +118,23 @@
     assert!(rate.part(at(1)) > 0.9);
     assert!(rate.part(at(11)) < 0.05);
 }
+
+fn coming() -> ReplicaOption {
+    ReplicaOption {
+        adapter: AdapterPlace::Coming,
+        rank: 9,
+        ..PLAIN
+    }
+}
+
+// Guards against a second load of an adapter that is on its way already, and against a wait for a
+// load that nobody orders.
+#[test_case(EngineReadiness::Ready, 0; "the broker answers")]
+#[test_case(EngineReadiness::NoBroker, 1; "the broker is lost")]
+fn an_adapter_on_its_way_is_waited_for(readiness: EngineReadiness, expected: usize) {
+    let option = ReplicaOption {
+        readiness,
+        ..coming()
+    };
+    assert_eq!(choose(&[option, cold(0)]), Some(expected));
+}
--- a/crates/decisions/tests/slot_broker.rs
+++ b/crates/decisions/tests/slot_broker.rs
@@ -44,6 +44,7 @@
         prompt_tokens: 2000,
         output_tokens: 10,
         objective: at(800),
+        begin_limit: at(4000),
         deadline: at(4000),
     }
 }
@@ -332,7 +333,8 @@
         for number in arrivals {
             let mut request = request(number, "a", 0);
             request.objective = now + time::Duration::from_millis(800);
-            request.deadline = now + time::Duration::from_secs(5);
+            request.begin_limit = now + time::Duration::from_secs(5);
+            request.deadline = request.begin_limit;
             if let Some(PlaceOutcome::Granted { .. }) = broker.ask(request, now) {
                 begun.push((number, step * 50));
                 unstarted += 1;
@@ -490,6 +492,7 @@
     let mut short = request(2, "a", 0);
     short.objective = now + time::Duration::from_millis(800);
     short.deadline = now + time::Duration::from_secs(4);
+    short.begin_limit = short.deadline;
     let mut long = short.clone();
     long.id.number = 3;
     long.output_tokens = 60;
@@ -507,3 +510,60 @@
     let granted = broker.ask(short, now);
     assert!(matches!(granted, Some(PlaceOutcome::Granted { .. })));
 }
+
+// Guards against an engine that stays empty for seconds because its broker still knew the engine of
+// before the restart when it ordered the model.
+#[test]
+fn a_refused_model_order_is_given_again_soon() {
+    let mut broker = SlotBroker::new(LIMITS);
+    let empty = SlotReport {
+        incarnation: 7,
+        model: ModelState::Empty,
+        ..SlotReport::default()
+    };
+    broker.observe(&empty, at(0));
+    let order = broker.next_order(at(0)).unwrap();
+    broker.order_failed(&order, at(5));
+    assert_eq!(broker.next_order(at(200)), None);
+    assert_eq!(broker.next_order(at(400)), Some(AdapterOrder::LoadModel));
+}
+
+// Guards against entries that load an adapter elsewhere although it is on its way here.
+#[test]
+fn adapters_on_their_way_are_told() {
+    let mut broker = broker(&["a"]);
+    assert!(broker.coming().is_empty());
+    for (number, name) in [(1, "c"), (2, "b"), (3, "b")] {
+        assert_eq!(broker.ask(request(number, name, 0), at(0)), None);
+    }
+    assert!(broker.next_order(at(0)).is_some());
+    assert_eq!(broker.coming(), ["b", "c"]);
+}
+
+// Guards against callers that are held until they leave. Plays an engine that is reading, with
+// urgent requests ahead of one whose caller leaves after 300 ms.
+#[test]
+fn a_request_that_cannot_begin_before_its_caller_leaves_is_refused() {
+    let mut broker = broker(&["a"]);
+    broker.observe(&reading(3), at(0));
+    for number in 1..4 {
+        assert_eq!(broker.ask(request(number, "a", 0), at(0)), None);
+    }
+    let mut last = request(4, "a", 0);
+    last.priority = 2;
+    let mut leaving = last.clone();
+    leaving.id.number = 5;
+    leaving.begin_limit = at(300);
+    assert_eq!(broker.ask(last, at(0)), None);
+    let refused = broker.ask(leaving, at(0));
+    assert!(
+        matches!(
+            refused,
+            Some(PlaceOutcome::Refused {
+                reason: PlaceRefusal::Backlog,
+                ..
+            })
+        ),
+        "{refused:?}"
+    );
+}
--- a/crates/gateway/src/brokers.rs
+++ b/crates/gateway/src/brokers.rs
@@ -10,6 +10,9 @@
 
 /// Pause between two heartbeats.
 const INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Pause between two looks for places that no call has given up yet. Other callers may wait for
+/// their slots.
+const RELEASE_INTERVAL: time::Duration = time::Duration::from_millis(60);
 /// Heartbeats under way at the same time.
 const PARALLEL: usize = 8;
 
@@ -59,6 +62,30 @@
     }
 }
 
+/// Gives up places of which brokers have not been told, until the task is dropped.
+pub async fn release(dispatcher: Arc<dispatch::Dispatcher>) {
+    loop {
+        tokio::time::sleep(RELEASE_INTERVAL).await;
+        let due: Vec<_> = engines(&dispatcher)
+            .into_iter()
+            .filter(|(replica, _)| replica.broker.has_released())
+            .collect();
+        let views = due.into_iter().map(|(replica, setup)| {
+            let dispatcher = Arc::clone(&dispatcher);
+            async move {
+                let now = dispatcher.now();
+                let entry = dispatcher.incarnation;
+                // A failure is noted by the next heartbeat, which gives up the same places.
+                if let Ok(view) = replica.broker.view(entry, setup, now).await {
+                    let now = dispatcher.now();
+                    dispatcher.members.lock().viewed(&replica.id, view, now);
+                }
+            }
+        });
+        futures::future::join_all(views).await;
+    }
+}
+
 /// Engines of all services with what they are to hold.
 fn engines(
     dispatcher: &dispatch::Dispatcher,
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -42,6 +42,8 @@
     pub timeout: time::Duration,
     /// Time within which an answer is on time.
     pub objective: time::Duration,
+    /// Time without an event after which callers leave a stream.
+    pub patience: time::Duration,
     /// 0 is the most urgent.
     pub priority: u8,
     pub shares: Vec<ServiceShare>,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -406,6 +406,7 @@
             prompt_tokens: need.prompt_tokens,
             output_tokens,
             objective: plan.objective_left().saturating_sub(FIRST_EVENT_TIME),
+            begin_limit: plan.patience_left().saturating_sub(FIRST_EVENT_TIME),
             deadline: plan.time_left(),
             released: Vec::new(),
         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -403,7 +403,7 @@
             adapter,
             readiness: replica.readiness(plan, now),
             share,
-            has_room: view.is_none_or(|view| view.room > 0),
+            slot_wait: view.map_or(time::Duration::ZERO, |view| view.slot_wait),
             backlog: replica.backlog(now),
             is_local: replica.record.data_centre == self.data_centre,
             failures: replica.failures.part(now),
@@ -528,6 +528,9 @@
             return replica_choice::AdapterPlace::Held;
         }
         let view = self.fresh_view(now);
+        if view.is_some_and(|view| view.coming.iter().any(|name| name == adapter)) {
+            return replica_choice::AdapterPlace::Coming;
+        }
         let is_warm = view.is_some_and(|view| view.recent.iter().any(|name| name == adapter));
         if is_warm {
             replica_choice::AdapterPlace::Warm
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -95,6 +95,13 @@
         objective.saturating_duration_since(Instant::now())
     }
 
+    /// Time in which the first event of a stream must come; the caller leaves without it.
+    #[must_use]
+    pub fn patience_left(&self) -> time::Duration {
+        let limit = self.received_at + self.route.patience;
+        limit.saturating_duration_since(Instant::now())
+    }
+
     /// Whether there is time for another attempt.
     #[must_use]
     pub fn has_time(&self) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -82,6 +82,7 @@
     ));
     background.spawn(follower::follow_replicas(Arc::clone(&dispatcher), store));
     background.spawn(brokers::follow(Arc::clone(&dispatcher)));
+    background.spawn(brokers::release(Arc::clone(&dispatcher)));
     background.spawn(serve_readiness(
         readiness,
         Arc::clone(&dispatcher),
