--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod failure_rate;
 pub mod fifo_queue;
 pub mod hash_ring;
+pub mod heard_entries;
 pub mod ids;
 pub mod latency_window;
 pub mod load_budget;
--- a/crates/decisions/src/places.rs
+++ b/crates/decisions/src/places.rs
@@ -63,3 +63,14 @@
         retry_after: time::Duration,
     },
 }
+
+impl PlaceOutcome {
+    /// Refusal with the time after which the caller should come back.
+    #[must_use]
+    pub const fn refused(reason: PlaceRefusal, retry_after: time::Duration) -> Self {
+        Self::Refused {
+            reason,
+            retry_after,
+        }
+    }
+}
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -15,10 +15,8 @@
 
 use std::time;
 
-use crate::{adapter_slots, engine_pace, engine_report, place_table, places, units};
+use crate::{adapter_slots, engine_pace, engine_report, heard_entries, place_table, places, units};
 
-/// Time after which the places of a silent entry are released.
-const ENTRY_SILENCE: time::Duration = time::Duration::from_millis(2500);
 /// Time after which a model that is not reported is ordered again.
 const MODEL_LIMIT: time::Duration = time::Duration::from_secs(3);
 /// Pause for a caller while an engine has no model.
@@ -39,22 +37,12 @@
 }
 
 /// Refusal while an engine has no model.
-const NO_MODEL: places::PlaceOutcome = places::PlaceOutcome::Refused {
-    reason: places::PlaceRefusal::Engine,
-    retry_after: MODEL_PAUSE,
-};
+const NO_MODEL: places::PlaceOutcome =
+    places::PlaceOutcome::refused(places::PlaceRefusal::Engine, MODEL_PAUSE);
 
 /// Refusal of what a silent entry waits for.
-const NO_ENTRY: places::PlaceOutcome = places::PlaceOutcome::Refused {
-    reason: places::PlaceRefusal::Late,
-    retry_after: adapter_slots::LOAD_BACKOFF,
-};
-
-#[derive(Debug)]
-struct Entry {
-    incarnation: u64,
-    heard_at: units::Timestamp,
-}
+const NO_ENTRY: places::PlaceOutcome =
+    places::PlaceOutcome::refused(places::PlaceRefusal::Late, adapter_slots::LOAD_BACKOFF);
 
 /// Slots and places of one engine.
 #[derive(Debug)]
@@ -72,7 +60,7 @@
     waiting: Vec<places::PlaceRequest>,
     places: place_table::PlaceTable,
     pace: engine_pace::EnginePace,
-    entries: Vec<Entry>,
+    entries: heard_entries::HeardEntries,
 }
 
 impl SlotBroker {
@@ -90,7 +78,7 @@
             waiting: Vec::new(),
             places: place_table::PlaceTable::default(),
             pace: engine_pace::EnginePace::default(),
-            entries: Vec::new(),
+            entries: heard_entries::HeardEntries::default(),
         }
     }
 
@@ -101,17 +89,7 @@
 
     /// Notes that an entry is alive.
     pub fn heard(&mut self, entry: u64, now: units::Timestamp) {
-        match self
-            .entries
-            .iter_mut()
-            .find(|held| held.incarnation == entry)
-        {
-            Some(held) => held.heard_at = now,
-            None => self.entries.push(Entry {
-                incarnation: entry,
-                heard_at: now,
-            }),
-        }
+        self.entries.heard(entry, now);
     }
 
     /// Asks for a place; `None` while the request has to wait for it.
@@ -130,10 +108,10 @@
         }
         let ahead = self.ahead(&request, now);
         if now + ahead >= self.latest_start(&request) {
-            return Some(places::PlaceOutcome::Refused {
-                reason: places::PlaceRefusal::Backlog,
-                retry_after: ahead / 2,
-            });
+            return Some(places::PlaceOutcome::refused(
+                places::PlaceRefusal::Backlog,
+                ahead / 2,
+            ));
         }
         if self.is_startable(&request) {
             return self.grant_or_wait(request, now);
@@ -142,10 +120,10 @@
             let wait = self.wait_for(want);
             let is_slot_in_time = now + wait + LOAD_TIME + ahead <= request.objective;
             if !wait.is_zero() && !is_slot_in_time {
-                return Some(places::PlaceOutcome::Refused {
-                    reason: places::PlaceRefusal::Slots,
-                    retry_after: wait,
-                });
+                return Some(places::PlaceOutcome::refused(
+                    places::PlaceRefusal::Slots,
+                    wait,
+                ));
             }
         }
         self.waiting.push(request);
@@ -206,10 +184,10 @@
 
     /// Refuses all waiting requests, because the engine cannot be reached.
     pub fn lose_engine(&mut self) -> Vec<(places::PlaceId, places::PlaceOutcome)> {
-        let refused = places::PlaceOutcome::Refused {
-            reason: places::PlaceRefusal::Engine,
-            retry_after: adapter_slots::LOAD_BACKOFF,
-        };
+        let refused = places::PlaceOutcome::refused(
+            places::PlaceRefusal::Engine,
+            adapter_slots::LOAD_BACKOFF,
+        );
         let waiting = std::mem::take(&mut self.waiting);
         waiting
             .into_iter()
@@ -325,11 +303,7 @@
     /// Entries heard of lately.
     #[must_use]
     pub fn entries(&self, now: units::Timestamp) -> usize {
-        let heard = self
-            .entries
-            .iter()
-            .filter(|entry| now.since(entry.heard_at) < ENTRY_SILENCE);
-        heard.count()
+        self.entries.count(now)
     }
 
     /// Whether a load or a prompt is under way or due.
@@ -441,10 +415,7 @@
         } else {
             return None;
         };
-        Some(places::PlaceOutcome::Refused {
-            reason,
-            retry_after,
-        })
+        Some(places::PlaceOutcome::refused(reason, retry_after))
     }
 
     fn grant(
@@ -510,11 +481,9 @@
 
     /// Gives up the places of silent entries, and refuses what waits for them.
     fn expire(&mut self, now: units::Timestamp) -> Vec<(places::PlaceId, places::PlaceOutcome)> {
-        self.entries
-            .retain(|entry| now.since(entry.heard_at) < ENTRY_SILENCE);
+        self.entries.expire(now);
         let entries = &self.entries;
-        let is_lost =
-            |id: &places::PlaceId| !entries.iter().any(|entry| entry.incarnation == id.entry);
+        let is_lost = |id: &places::PlaceId| !entries.is_known(id.entry);
         let lost: Vec<_> = self.places.ids().filter(is_lost).collect();
         let waiting = self.waiting.iter().map(|request| request.id);
         let refused: Vec<_> = waiting.filter(is_lost).map(|id| (id, NO_ENTRY)).collect();
--- a/crates/gateway/src/brokers.rs
+++ b/crates/gateway/src/brokers.rs
@@ -6,7 +6,7 @@
 use futures::{StreamExt, stream};
 use telemetry::events;
 
-use crate::{dispatch, members};
+use crate::{dispatch, replica};
 
 /// Pause between two heartbeats.
 const INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -89,7 +89,7 @@
 /// Engines of all services with what they are to hold.
 fn engines(
     dispatcher: &dispatch::Dispatcher,
-) -> Vec<(members::ChosenReplica, message::EngineSetup)> {
+) -> Vec<(replica::ChosenReplica, message::EngineSetup)> {
     let Some(current) = dispatcher.catalog.lock().current() else {
         return Vec::new();
     };
@@ -104,7 +104,7 @@
             continue;
         };
         for replica in members.of_service(&service.name, now) {
-            let setup = members::engine_setup(&replica, engine, model.clone());
+            let setup = replica::engine_setup(&replica, engine, model.clone());
             engines.push((replica, setup));
         }
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,7 +5,6 @@
 
 use std::{sync::Arc, time};
 
-use broker::{client, message};
 use bytes::Bytes;
 use decisions::{answer_length, attempt_budget, units};
 use http::{Request, Response, response};
@@ -14,16 +13,15 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::{answers, catalog, connections, dialect, journal, members, metrics, plan, settings};
+use crate::{
+    answers, attempts, catalog, connections, dialect, journal, members, metrics, placement, plan,
+    replica, settings,
+};
 
 /// Time for a new connection to a replica.
 const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(300);
 /// Time after a deadline in which a replica's own answer to it may still arrive.
 const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
-/// Time from the begin of a request at an engine to its first event at the caller.
-const FIRST_EVENT_TIME: time::Duration = time::Duration::from_millis(60);
-/// Engines that are asked for a place.
-const MAX_PLACES: usize = 3;
 /// Replicas that are tried in vain for a connection.
 const MAX_UNREACHABLE: usize = 3;
 /// Shortest time after which a silent replica is given up for another one.
@@ -44,13 +42,14 @@
     pub pool: connections::ConnectionPool,
     pub journal: journal::RequestJournal,
     pub metrics: metrics::GatewayMetrics,
-    places: Mutex<u64>,
+    /// Number of the newest place.
+    pub places: Mutex<u64>,
     started: Instant,
 }
 
 /// Request that was sent, with the head of its answer.
 pub struct OpenAttempt {
-    pub replica: members::ChosenReplica,
+    pub replica: replica::ChosenReplica,
     pub head: response::Parts,
     pub body: Incoming,
     pub connection: connections::ReplicaConnection,
@@ -62,7 +61,7 @@
     dispatcher: Arc<Dispatcher>,
     replica: String,
     /// Given up when the guard is dropped.
-    _place: Option<HeldPlace>,
+    _place: Option<placement::HeldPlace>,
 }
 
 impl Drop for AttemptGuard {
@@ -71,55 +70,12 @@
     }
 }
 
-/// Place that is asked for or held, and given up when dropped. It exists from before the request
-/// for it, because the caller may leave before the broker's answer is seen.
-struct HeldPlace {
-    broker: Arc<client::BrokerClient>,
-    number: u64,
-}
-
-impl Drop for HeldPlace {
-    fn drop(&mut self) {
-        self.broker.release(self.number);
-    }
-}
-
-/// Replica for an attempt, with a place if it is an engine with a broker.
-struct PlacedReplica {
-    replica: members::ChosenReplica,
-    place: Option<HeldPlace>,
-    /// Held version of the adapter, which the replica must run.
-    version: Option<u32>,
-}
-
 /// Complete answer of a replica.
 pub struct WholeAnswer {
     pub head: response::Parts,
     pub body: Bytes,
 }
 
-/// What is known of a failed attempt's run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunKnowledge {
-    /// Nothing reached a replica.
-    Unsent,
-    NotRun,
-    Unknown,
-    /// The replica ran it and answered with a failure.
-    Ran,
-}
-
-/// Attempt without a good answer.
-pub struct Setback {
-    pub replica: String,
-    pub knowledge: RunKnowledge,
-    pub reason: &'static str,
-    /// Failure of the replica, to be passed on if there is no other attempt.
-    pub answer: Option<WholeAnswer>,
-    /// A repeat was taken from the budget already.
-    pub is_paid: bool,
-}
-
 /// End of all attempts at a request.
 pub enum Outcome {
     Whole {
@@ -131,17 +87,6 @@
     Own(answers::OwnAnswer),
 }
 
-/// Attempts at one request so far.
-#[derive(Default)]
-pub struct AttemptHistory {
-    excluded: Vec<String>,
-    /// Sends that reached a replica.
-    arrivals: u32,
-    unreachable: usize,
-    /// One of them may have run or ran.
-    may_have_run: bool,
-}
-
 impl Dispatcher {
     /// Dispatcher that knows no configuration and no replica.
     #[must_use]
@@ -202,7 +147,7 @@
     /// Makes attempts until there is an answer.
     pub async fn run(self: &Arc<Self>, plan: &plan::RequestPlan) -> Outcome {
         self.budget.lock().first(&plan.service, self.now());
-        let mut history = AttemptHistory::default();
+        let mut history = attempts::AttemptHistory::default();
         let resume_after = plan.request.resume_after;
         loop {
             let attempt = self.attempt(plan, &mut history, resume_after).await;
@@ -237,10 +182,10 @@
     pub async fn attempt(
         self: &Arc<Self>,
         plan: &plan::RequestPlan,
-        history: &mut AttemptHistory,
+        history: &mut attempts::AttemptHistory,
         resume_after: Option<u64>,
     ) -> Result<OpenAttempt, AttemptError> {
-        let PlacedReplica {
+        let placement::PlacedReplica {
             replica,
             place,
             version,
@@ -287,140 +232,9 @@
             .keep(connection, connections::idle_limit(&head.headers));
     }
 
-    /// Chooses a replica, with a place if it is an engine.
-    async fn place(
-        &self,
-        plan: &plan::RequestPlan,
-        history: &AttemptHistory,
-    ) -> Result<PlacedReplica, AttemptError> {
-        let Some(engine) = &plan.engine else {
-            let members = self.members.lock();
-            let chosen = members.choose_service(&plan.service, &history.excluded, self.now());
-            let replica = chosen.ok_or(AttemptError::Refused(answers::OwnAnswer::NO_REPLICA))?;
-            return Ok(PlacedReplica {
-                replica,
-                place: None,
-                version: None,
-            });
-        };
-        let mut excluded = history.excluded.clone();
-        let mut refusal = answers::OwnAnswer::NO_REPLICA;
-        for _ in 0..MAX_PLACES {
-            let now = self.now();
-            let chosen = self.members.lock().choose_engine(plan, &excluded, now);
-            let Some(replica) = chosen else { break };
-            excluded.push(replica.id.clone());
-            match self.ask_place(plan, engine, replica).await {
-                Ok(placed) => return Ok(placed),
-                Err(answer) => refusal = answer.unwrap_or(refusal),
-            }
-            if !plan.has_time() {
-                break;
-            }
-        }
-        Err(AttemptError::Refused(refusal))
-    }
-
-    /// Asks the broker of an engine for a place; fails with the answer that its refusal calls for.
-    async fn ask_place(
-        &self,
-        plan: &plan::RequestPlan,
-        engine: &catalog::EngineLimits,
-        replica: members::ChosenReplica,
-    ) -> Result<PlacedReplica, Option<answers::OwnAnswer>> {
-        let place = HeldPlace {
-            broker: Arc::clone(&replica.broker),
-            number: self.next_place(),
-        };
-        let call = self.place_call(plan, &replica, engine, place.number);
-        let asked = Instant::now();
-        let reply = match replica.broker.place(call, self.now()).await {
-            Ok(reply) => reply,
-            // Without its broker, an engine serves the adapters that it holds.
-            Err(error) if replica.is_held && !error.is_silent() => {
-                return Ok(PlacedReplica {
-                    version: replica.version,
-                    replica,
-                    place: None,
-                });
-            }
-            Err(error) => {
-                if error.is_silent() {
-                    self.members.lock().set_aside(&replica.id, self.now());
-                }
-                let reason = error.to_string();
-                self.journal.retried(plan, &replica.id, &reason, true);
-                return Err(None);
-            }
-        };
-        self.metrics.placed(asked.elapsed());
-        let now = self.now();
-        let mut members = self.members.lock();
-        members.viewed(&replica.id, reply.view, now);
-        match reply.answer {
-            message::PlaceAnswer::Granted { version } if members.takes_requests(&replica.id) => {
-                Ok(PlacedReplica {
-                    replica,
-                    place: Some(place),
-                    version,
-                })
-            }
-            // The replica has left while the request waited for its adapter.
-            message::PlaceAnswer::Granted { .. } => {
-                self.journal.retried(plan, &replica.id, "leaving", true);
-                Err(None)
-            }
-            message::PlaceAnswer::Refused {
-                reason,
-                retry_after,
-            } => {
-                if reason == message::RefusalReason::OtherEngine {
-                    members.set_aside(&replica.id, now);
-                }
-                let label = reason.label();
-                self.journal.retried(plan, &replica.id, label, true);
-                Err(Some(answers::OwnAnswer::no_place(reason, retry_after)))
-            }
-        }
-    }
-
-    fn place_call(
-        &self,
-        plan: &plan::RequestPlan,
-        replica: &members::ChosenReplica,
-        engine: &catalog::EngineLimits,
-        number: u64,
-    ) -> message::PlaceCall {
-        let need = plan.request.generation.clone().unwrap_or_default();
-        let output_tokens = need.answer_tokens();
-        message::PlaceCall {
-            entry: self.incarnation,
-            number,
-            engine: members::engine_setup(replica, engine, need.model),
-            adapter: need.adapter.map(|name| message::NeededAdapter {
-                name,
-                version: plan.adapter_version,
-            }),
-            request: plan.request.id.clone(),
-            priority: plan.route.priority,
-            prompt_tokens: need.prompt_tokens,
-            output_tokens,
-            objective: plan.objective_left().saturating_sub(FIRST_EVENT_TIME),
-            begin_limit: plan.patience_left().saturating_sub(FIRST_EVENT_TIME),
-            deadline: plan.time_left(),
-            released: Vec::new(),
-        }
-    }
-
-    fn next_place(&self) -> u64 {
-        let mut places = self.places.lock();
-        *places += 1;
-        *places
-    }
-
     async fn connect(
         &self,
-        replica: &members::ChosenReplica,
+        replica: &replica::ChosenReplica,
     ) -> Result<connections::ReplicaConnection, connections::SendError> {
         if let Some(connection) = self.pool.take(replica.address, &replica.id) {
             return Ok(connection);
@@ -431,7 +245,7 @@
     fn request(
         &self,
         plan: &plan::RequestPlan,
-        replica: &members::ChosenReplica,
+        replica: &replica::ChosenReplica,
         version: Option<u32>,
         resume_after: Option<u64>,
     ) -> Request<Full<Bytes>> {
@@ -454,7 +268,7 @@
     async fn head(
         &self,
         plan: &plan::RequestPlan,
-        history: &AttemptHistory,
+        history: &attempts::AttemptHistory,
         can_switch: bool,
         sending: impl Future<Output = Result<Response<Incoming>, connections::SendError>>,
     ) -> Result<Response<Incoming>, SendFailure> {
@@ -476,13 +290,21 @@
         }
     }
 
-    fn failed_send(&self, replica: &members::ChosenReplica, failure: SendFailure) -> Setback {
+    fn failed_send(
+        &self,
+        replica: &replica::ChosenReplica,
+        failure: SendFailure,
+    ) -> attempts::Setback {
         let now = self.now();
-        let mut setback = Setback::new(&replica.id, RunKnowledge::Unknown, "connection_lost");
+        let mut setback = attempts::Setback::new(
+            &replica.id,
+            attempts::RunKnowledge::Unknown,
+            "connection_lost",
+        );
         let mut members = self.members.lock();
         match failure {
             SendFailure::Connection(error) if error.is_unsent() => {
-                setback.knowledge = RunKnowledge::Unsent;
+                setback.knowledge = attempts::RunKnowledge::Unsent;
                 setback.reason = "connection_closed";
             }
             SendFailure::Connection(_) => members.observe(&replica.id, true, now),
@@ -516,20 +338,30 @@
             dialect::ReplicaVerdict::Answered => Ok(open),
             dialect::ReplicaVerdict::NotRun => {
                 self.drain_body(open).await;
-                Err(Setback::new(&id, RunKnowledge::NotRun, "replica_refused").into())
+                Err(
+                    attempts::Setback::new(&id, attempts::RunKnowledge::NotRun, "replica_refused")
+                        .into(),
+                )
             }
             dialect::ReplicaVerdict::Misdirected => {
                 self.drain_body(open).await;
-                Err(Setback::new(&id, RunKnowledge::NotRun, "misdirected").into())
+                Err(
+                    attempts::Setback::new(&id, attempts::RunKnowledge::NotRun, "misdirected")
+                        .into(),
+                )
             }
             dialect::ReplicaVerdict::Foreign => {
-                Err(Setback::new(&id, RunKnowledge::Unknown, "foreign_answer").into())
+                Err(
+                    attempts::Setback::new(&id, attempts::RunKnowledge::Unknown, "foreign_answer")
+                        .into(),
+                )
             }
             dialect::ReplicaVerdict::Failed => {
-                let mut setback = Setback::new(&id, RunKnowledge::Ran, "replica_failed");
+                let mut setback =
+                    attempts::Setback::new(&id, attempts::RunKnowledge::Ran, "replica_failed");
                 match self.collect(plan, open).await {
                     Ok((_, answer)) => setback.answer = Some(answer),
-                    Err(_) => setback.knowledge = RunKnowledge::Unknown,
+                    Err(_) => setback.knowledge = attempts::RunKnowledge::Unknown,
                 }
                 Err(setback.into())
             }
@@ -541,7 +373,7 @@
         &self,
         plan: &plan::RequestPlan,
         open: OpenAttempt,
-    ) -> Result<(String, WholeAnswer), Setback> {
+    ) -> Result<(String, WholeAnswer), attempts::Setback> {
         let body = http_body_util::Limited::new(open.body, MAX_ANSWER_BYTES);
         let limit = plan.deadline + LATE_LIMIT;
         let id = open.replica.id;
@@ -556,9 +388,17 @@
             }
             Ok(Err(_)) => {
                 self.members.lock().observe(&id, true, self.now());
-                Err(Setback::new(&id, RunKnowledge::Unknown, "answer_broken"))
+                Err(attempts::Setback::new(
+                    &id,
+                    attempts::RunKnowledge::Unknown,
+                    "answer_broken",
+                ))
             }
-            Err(_) => Err(Setback::new(&id, RunKnowledge::Unknown, "timeout")),
+            Err(_) => Err(attempts::Setback::new(
+                &id,
+                attempts::RunKnowledge::Unknown,
+                "timeout",
+            )),
         }
     }
 
@@ -574,16 +414,16 @@
     fn may_repeat(
         &self,
         plan: &plan::RequestPlan,
-        history: &mut AttemptHistory,
-        setback: &Setback,
+        history: &mut attempts::AttemptHistory,
+        setback: &attempts::Setback,
     ) -> bool {
         history.exclude(&setback.replica);
-        if setback.knowledge == RunKnowledge::Unsent {
+        if setback.knowledge == attempts::RunKnowledge::Unsent {
             // A connection that closed before the request was sent did not reach the replica.
             history.unreachable += 1;
             return history.unreachable <= MAX_UNREACHABLE && plan.has_time();
         }
-        if setback.knowledge != RunKnowledge::NotRun {
+        if setback.knowledge != attempts::RunKnowledge::NotRun {
             history.may_have_run = true;
             if !plan.route.kind.is_repeatable() {
                 return false;
@@ -618,83 +458,22 @@
 pub enum AttemptError {
     /// No replica has a place.
     Refused(answers::OwnAnswer),
-    Setback(Setback),
+    Setback(attempts::Setback),
 }
 
 impl AttemptError {
     fn unsent(replica: &str, reason: &'static str) -> Self {
-        Self::Setback(Setback::new(replica, RunKnowledge::Unsent, reason))
-    }
-}
-
-impl From<Setback> for AttemptError {
-    fn from(setback: Setback) -> Self {
-        Self::Setback(setback)
-    }
-}
-
-impl Setback {
-    fn new(replica: &str, knowledge: RunKnowledge, reason: &'static str) -> Self {
-        Self {
-            replica: replica.to_owned(),
-            knowledge,
+        Self::Setback(attempts::Setback::new(
+            replica,
+            attempts::RunKnowledge::Unsent,
             reason,
-            answer: None,
-            is_paid: false,
-        }
+        ))
     }
 }
 
-impl AttemptHistory {
-    /// History of a stream that goes on at another replica.
-    #[must_use]
-    pub fn resumed(replica: &str, arrivals: u32) -> Self {
-        Self {
-            excluded: vec![replica.to_owned()],
-            arrivals,
-            unreachable: 0,
-            may_have_run: true,
-        }
-    }
-
-    /// Leaves out a replica from further attempts.
-    pub fn exclude(&mut self, replica: &str) {
-        self.excluded.push(replica.to_owned());
-    }
-
-    /// Sends that reached a replica.
-    #[must_use]
-    pub fn arrivals(&self) -> u32 {
-        self.arrivals
-    }
-
-    /// Own answer that is true for all attempts.
-    fn last_answer(&self, answer: answers::OwnAnswer) -> answers::OwnAnswer {
-        if self.may_have_run && answer.is_not_run() {
-            answers::OwnAnswer::LOST
-        } else {
-            answer
-        }
-    }
-
-    /// Final outcome after the last setback.
-    fn outcome(&self, plan: &plan::RequestPlan, setback: Setback) -> Outcome {
-        if let Some(answer) = setback.answer {
-            return Outcome::Whole {
-                replica: setback.replica,
-                answer,
-            };
-        }
-        if self.may_have_run {
-            let is_late = !plan.has_time();
-            return Outcome::Own(if is_late {
-                answers::OwnAnswer::TIMEOUT
-            } else {
-                answers::OwnAnswer::LOST
-            });
-        }
-        let pause = time::Duration::from_millis(100);
-        Outcome::Own(answers::OwnAnswer::not_run(setback.reason, pause))
+impl From<attempts::Setback> for AttemptError {
+    fn from(setback: attempts::Setback) -> Self {
+        Self::Setback(setback)
     }
 }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -4,7 +4,7 @@
 
 use telemetry::events;
 
-use crate::{answers, members, plan};
+use crate::{answers, plan, replica};
 
 /// Times of a stream's events.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -36,7 +36,7 @@
     pub fn sent(
         &self,
         plan: &plan::RequestPlan,
-        replica: &members::ChosenReplica,
+        replica: &replica::ChosenReplica,
         attempt: u32,
         version: Option<u32>,
     ) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`store`].
 
 pub mod answers;
+pub mod attempts;
 pub mod brokers;
 pub mod catalog;
 pub mod connections;
@@ -16,8 +17,10 @@
 pub mod journal;
 pub mod members;
 pub mod metrics;
+pub mod placement;
 pub mod plan;
 pub mod relay;
+pub mod replica;
 pub mod server;
 pub mod settings;
 pub mod store;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -4,63 +4,19 @@
 //! lists as leaving, or no longer lists, gets no more requests; after an outage of the store,
 //! replicas that are missing are kept for a moment, because those that live are listed again.
 
-use std::{net, sync::Arc, time};
+use std::{net, time};
 
-use broker::{client, message};
-use decisions::{failure_rate, replica_choice, units};
+use broker::message;
+use decisions::{replica_choice, units};
 use xxhash_rust::xxh3;
 
-use crate::{catalog, dialect, plan, store};
+use crate::{dialect, plan, replica, store};
 
 /// Time after an outage in which missing replicas are kept.
 const RETURN_LIMIT: time::Duration = time::Duration::from_millis(2500);
-/// Age beyond which a broker's view is not used.
-const VIEW_LIMIT: time::Duration = time::Duration::from_secs(2);
-/// Age beyond which the load in an answer is not used.
-const SAMPLE_LIMIT: time::Duration = time::Duration::from_millis(1500);
 /// Time for which a replica that cannot be connected is left out.
 const UNREACHABLE_LIMIT: time::Duration = time::Duration::from_millis(1200);
 
-/// Engine state as its broker told it.
-#[derive(Clone, Debug)]
-struct KnownView {
-    view: message::EngineView,
-    told_at: units::Timestamp,
-}
-
-/// Replica with what is known of it.
-pub struct Replica {
-    pub record: store::ReplicaRecord,
-    pub broker: Arc<client::BrokerClient>,
-    offset: u64,
-    view: Option<KnownView>,
-    sample: Option<(dialect::LoadSample, units::Timestamp)>,
-    outstanding: u32,
-    failures: failure_rate::FailureRate,
-    unreachable_until: units::Timestamp,
-    /// Missing in the newest listing after an outage, and until when it is kept.
-    missing_until: Option<units::Timestamp>,
-}
-
-/// Replica that was chosen for a request.
-#[derive(Clone)]
-pub struct ChosenReplica {
-    pub id: String,
-    pub incarnation: u64,
-    pub address: net::SocketAddr,
-    pub broker: Arc<client::BrokerClient>,
-    /// Base model that the replica holds.
-    pub model: Option<String>,
-    /// The adapter is known to be in a slot.
-    pub is_held: bool,
-    /// Held version of the adapter, as far as known.
-    pub version: Option<u32>,
-    /// Expected time until the request begins.
-    pub cost: time::Duration,
-    /// What the broker last told, for the log: age of the view.
-    pub view_age: Option<time::Duration>,
-}
-
 /// What changed in the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MemberChange {
@@ -84,7 +40,7 @@
 pub struct ReplicaTable {
     data_centre: String,
     broker_port: u16,
-    replicas: Vec<Replica>,
+    replicas: Vec<replica::Replica>,
     /// Offset up to which removals are known.
     listed_to: u64,
 }
@@ -134,9 +90,10 @@
 
     /// Removes replicas whose return was awaited in vain.
     pub fn expire(&mut self, now: units::Timestamp) -> Vec<MemberChange> {
-        let is_over = |replica: &Replica| replica.missing_until.is_some_and(|until| now >= until);
+        let is_over =
+            |replica: &replica::Replica| replica.missing_until.is_some_and(|until| now >= until);
         let gone = self.replicas.iter().filter(|replica| is_over(replica));
-        let changes = gone.map(Replica::gone).collect();
+        let changes = gone.map(replica::Replica::gone).collect();
         self.replicas.retain(|replica| !is_over(replica));
         changes
     }
@@ -160,7 +117,7 @@
 
     /// Replicas of a service, without what concerns a request.
     #[must_use]
-    pub fn of_service(&self, service: &str, now: units::Timestamp) -> Vec<ChosenReplica> {
+    pub fn of_service(&self, service: &str, now: units::Timestamp) -> Vec<replica::ChosenReplica> {
         let replicas = self
             .replicas
             .iter()
@@ -185,7 +142,7 @@
         plan: &plan::RequestPlan,
         excluded: &[String],
         now: units::Timestamp,
-    ) -> Option<ChosenReplica> {
+    ) -> Option<replica::ChosenReplica> {
         let candidates = self.candidates(&plan.service, excluded, now);
         let ranks = ranks(&candidates, plan);
         let shares = self.shares(&candidates, plan);
@@ -210,7 +167,7 @@
         service: &str,
         excluded: &[String],
         now: units::Timestamp,
-    ) -> Option<ChosenReplica> {
+    ) -> Option<replica::ChosenReplica> {
         let candidates = self.candidates(service, excluded, now);
         let options: Vec<_> = candidates
             .iter()
@@ -260,14 +217,14 @@
     /// Takes the load that an answer told.
     pub fn sampled(&mut self, id: &str, sample: dialect::LoadSample, now: units::Timestamp) {
         if let Some(replica) = self.find_mut(id) {
-            replica.sample = Some((sample, now));
+            replica.sampled(sample, now);
         }
     }
 
     /// Takes what a broker told of its engine.
     pub fn viewed(&mut self, id: &str, view: message::EngineView, now: units::Timestamp) {
         if let Some(replica) = self.find_mut(id) {
-            replica.view = Some(KnownView { view, told_at: now });
+            replica.viewed(view, now);
         }
     }
 
@@ -277,18 +234,7 @@
             Ok(position) => self.replicas[position].relist(offset, record),
             Err(position) => {
                 let address = record.address;
-                let broker = dialect::broker_address(address, self.broker_port);
-                let replica = Replica {
-                    broker: Arc::new(client::BrokerClient::new(broker)),
-                    record,
-                    offset,
-                    view: None,
-                    sample: None,
-                    outstanding: 0,
-                    failures: failure_rate::FailureRate::default(),
-                    unreachable_until: units::Timestamp::default(),
-                    missing_until: None,
-                };
+                let replica = replica::Replica::new(offset, record, self.broker_port);
                 self.replicas.insert(position, replica);
                 Some(MemberChange::Listed { id, address })
             }
@@ -340,15 +286,15 @@
         service: &str,
         excluded: &[String],
         now: units::Timestamp,
-    ) -> Vec<&Replica> {
-        let usable = |replica: &&Replica| {
+    ) -> Vec<&replica::Replica> {
+        let usable = |replica: &&replica::Replica| {
             replica.record.service == service
                 && !replica.record.is_leaving
                 && !excluded.contains(&replica.record.id)
                 && !self.is_superseded(replica)
         };
-        let all: Vec<&Replica> = self.replicas.iter().filter(usable).collect();
-        let reachable: Vec<&Replica> = all
+        let all: Vec<&replica::Replica> = self.replicas.iter().filter(usable).collect();
+        let reachable: Vec<&replica::Replica> = all
             .iter()
             .copied()
             .filter(|replica| now >= replica.unreachable_until)
@@ -359,17 +305,17 @@
     /// Whether each candidate is among the replicas for answers of the request's length.
     fn shares(
         &self,
-        candidates: &[&Replica],
+        candidates: &[&replica::Replica],
         plan: &plan::RequestPlan,
     ) -> Vec<replica_choice::LengthShare> {
         let mut order: Vec<u64> = self
             .replicas
             .iter()
             .filter(|replica| replica.record.service == plan.service)
-            .map(Replica::position_hash)
+            .map(replica::Replica::position_hash)
             .collect();
         order.sort_unstable();
-        let share = |replica: &&Replica| {
+        let share = |replica: &&replica::Replica| {
             let position = order.partition_point(|hash| *hash < replica.position_hash());
             let serves_long = replica_choice::serves_long(position, order.len());
             if serves_long == plan.is_long {
@@ -382,7 +328,7 @@
     }
 
     /// Whether a later replica has the address.
-    fn is_superseded(&self, replica: &Replica) -> bool {
+    fn is_superseded(&self, replica: &replica::Replica) -> bool {
         self.replicas.iter().any(|other| {
             other.record.address == replica.record.address
                 && other.record.incarnation > replica.record.incarnation
@@ -391,7 +337,7 @@
 
     fn option(
         &self,
-        replica: &Replica,
+        replica: &replica::Replica,
         plan: &plan::RequestPlan,
         rank: u32,
         share: replica_choice::LengthShare,
@@ -416,183 +362,15 @@
             .binary_search_by(|replica| replica.record.id.as_str().cmp(id))
     }
 
-    fn find_mut(&mut self, id: &str) -> Option<&mut Replica> {
+    fn find_mut(&mut self, id: &str) -> Option<&mut replica::Replica> {
         let position = self.find(id).ok()?;
         self.replicas.get_mut(position)
     }
 }
 
-impl Replica {
-    fn relist(&mut self, offset: u64, record: store::ReplicaRecord) -> Option<MemberChange> {
-        if offset < self.offset {
-            return None;
-        }
-        self.offset = offset;
-        self.missing_until = None;
-        let is_new = record.incarnation != self.record.incarnation;
-        let is_leaving = record.is_leaving && !self.record.is_leaving;
-        self.record = record;
-        if is_new {
-            self.view = None;
-            self.sample = None;
-            let (id, address) = (self.record.id.clone(), self.record.address);
-            return Some(MemberChange::Listed { id, address });
-        }
-        let id = self.record.id.clone();
-        is_leaving.then_some(MemberChange::Leaving { id })
-    }
-
-    /// Place of the replica in an order that all entries share.
-    fn position_hash(&self) -> u64 {
-        xxh3::xxh3_64(self.record.address.to_string().as_bytes())
-    }
-
-    fn gone(&self) -> MemberChange {
-        MemberChange::Gone {
-            id: self.record.id.clone(),
-            address: self.record.address,
-        }
-    }
-
-    fn chosen(&self, now: units::Timestamp) -> ChosenReplica {
-        ChosenReplica {
-            id: self.record.id.clone(),
-            incarnation: self.record.incarnation,
-            address: self.record.address,
-            broker: Arc::clone(&self.broker),
-            model: self.record.models.first().map(|held| held.name.clone()),
-            is_held: false,
-            version: None,
-            cost: time::Duration::ZERO,
-            view_age: self.view.as_ref().map(|known| now.since(known.told_at)),
-        }
-    }
-
-    fn fresh_view(&self, now: units::Timestamp) -> Option<&message::EngineView> {
-        let known = self.view.as_ref()?;
-        let is_fresh = now.since(known.told_at) < VIEW_LIMIT;
-        // A broker that no entry has asked yet knows nothing of its engine.
-        (is_fresh && known.view.incarnation == self.record.incarnation).then_some(&known.view)
-    }
-
-    fn readiness(
-        &self,
-        plan: &plan::RequestPlan,
-        now: units::Timestamp,
-    ) -> replica_choice::EngineReadiness {
-        if !self.broker.is_reachable(now) {
-            replica_choice::EngineReadiness::NoBroker
-        } else if self.has_model(plan, now) {
-            replica_choice::EngineReadiness::Ready
-        } else {
-            replica_choice::EngineReadiness::NoModel
-        }
-    }
-
-    fn has_model(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> bool {
-        if let Some(view) = self.fresh_view(now) {
-            return view.has_model;
-        }
-        let need = plan.request.generation.as_ref();
-        need.is_none_or(|need| {
-            self.record
-                .models
-                .iter()
-                .any(|held| held.name == need.model)
-        })
-    }
-
-    /// Version of the adapter in a slot; `None` if it is not held.
-    fn held_version(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> Option<u32> {
-        let (model, adapter) = plan.adapter()?;
-        if let Some(view) = self.fresh_view(now) {
-            let held = view.held.iter().find(|(name, _)| name == adapter);
-            return held.map(|(_, version)| *version);
-        }
-        let model = self.record.models.iter().find(|held| held.name == model)?;
-        let held = model.adapters.iter().find(|held| held.name == adapter);
-        held.map(|held| held.version)
-    }
-
-    fn adapter_place(
-        &self,
-        plan: &plan::RequestPlan,
-        now: units::Timestamp,
-    ) -> replica_choice::AdapterPlace {
-        let Some((_, adapter)) = plan.adapter() else {
-            return replica_choice::AdapterPlace::Held;
-        };
-        if let Some(version) = self.held_version(plan, now)
-            && version >= plan.adapter_version
-        {
-            return replica_choice::AdapterPlace::Held;
-        }
-        let view = self.fresh_view(now);
-        if view.is_some_and(|view| view.coming.iter().any(|name| name == adapter)) {
-            return replica_choice::AdapterPlace::Coming;
-        }
-        let is_warm = view.is_some_and(|view| view.recent.iter().any(|name| name == adapter));
-        if is_warm {
-            replica_choice::AdapterPlace::Warm
-        } else {
-            replica_choice::AdapterPlace::Cold
-        }
-    }
-
-    fn backlog(&self, now: units::Timestamp) -> time::Duration {
-        let known = self
-            .view
-            .as_ref()
-            .filter(|_| self.fresh_view(now).is_some());
-        known.map_or(time::Duration::ZERO, |known| {
-            known.view.backlog.saturating_sub(now.since(known.told_at))
-        })
-    }
-
-    fn service_option(
-        &self,
-        data_centre: &str,
-        now: units::Timestamp,
-    ) -> replica_choice::ServiceOption {
-        let sample = self
-            .sample
-            .filter(|(_, at)| now.since(*at) < SAMPLE_LIMIT)
-            .map(|(sample, _)| sample);
-        let told = sample.map_or(0, |sample| sample.running + sample.waiting);
-        let pace = sample.map_or(1.0, |sample| f64::from(sample.pace_percent) / 100.0);
-        replica_choice::ServiceOption {
-            outstanding: self.outstanding.max(told),
-            slots: self.record.slots,
-            pace,
-            is_local: self.record.data_centre == data_centre,
-            failures: self.failures.part(now),
-        }
-    }
-}
-
-/// What an engine is to hold. An engine that holds a model keeps it.
-#[must_use]
-pub fn engine_setup(
-    replica: &ChosenReplica,
-    engine: &catalog::EngineLimits,
-    model: String,
-) -> message::EngineSetup {
-    message::EngineSetup {
-        name: message::EngineName {
-            id: replica.id.clone(),
-            incarnation: replica.incarnation,
-        },
-        size: message::EngineSize {
-            adapter_slots: engine.adapter_slots,
-            batch_slots: engine.slots,
-        },
-        model: replica.model.clone().unwrap_or(model),
-    }
-}
-
 /// Position of each replica in the order of the adapter's hash. The address is hashed, because it
 /// outlives restarts of the replica and with them the adapters on its disk.
-fn ranks(replicas: &[&Replica], plan: &plan::RequestPlan) -> Vec<u32> {
+fn ranks(replicas: &[&replica::Replica], plan: &plan::RequestPlan) -> Vec<u32> {
     let Some((_, adapter)) = plan.adapter() else {
         return vec![0; replicas.len()];
     };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::{catalog, dispatch, events, journal, plan};
+use crate::{attempts, catalog, dispatch, events, journal, plan};
 
 /// Time after the deadline in which the end of a stream may still arrive.
 const LATE_LIMIT: time::Duration = time::Duration::from_millis(120);
@@ -148,9 +148,9 @@
         // The connection closes before the stream goes on elsewhere.
         drop(broken);
         self.splitter.discard_rest();
-        let mut history = dispatch::AttemptHistory::resumed(&from, self.arrivals);
+        let mut history = attempts::AttemptHistory::resumed(&from, self.arrivals);
         while is_resumable
-            && history.arrivals() < self.plan.route.max_attempts
+            && history.arrivals < self.plan.route.max_attempts
             && self.plan.deadline > Instant::now()
             && self.dispatcher.take_repeat(&self.plan)
         {
@@ -159,7 +159,7 @@
                 .dispatcher
                 .attempt(&self.plan, &mut history, after)
                 .await;
-            self.arrivals = history.arrivals();
+            self.arrivals = history.arrivals;
             self.dispatcher.metrics.retried(reason);
             match attempt {
                 Ok(attempt) => {
