--- a/crates/gateway/src/brokers.rs
+++ b/crates/gateway/src/brokers.rs
@@ -20,7 +20,7 @@
 pub async fn follow(dispatcher: Arc<dispatch::Dispatcher>) {
     let mut lost: Vec<String> = Vec::new();
     loop {
-        let views = stream::iter(engines(&dispatcher)).map(|(replica, setup)| {
+        let views = stream::iter(engines(&dispatcher, |_| true)).map(|(replica, setup)| {
             let dispatcher = Arc::clone(&dispatcher);
             async move {
                 let now = dispatcher.now();
@@ -66,10 +66,7 @@
 pub async fn release(dispatcher: Arc<dispatch::Dispatcher>) {
     loop {
         tokio::time::sleep(RELEASE_INTERVAL).await;
-        let due: Vec<_> = engines(&dispatcher)
-            .into_iter()
-            .filter(|(replica, _)| replica.broker.has_released())
-            .collect();
+        let due = engines(&dispatcher, |replica| replica.broker.has_released());
         let views = due.into_iter().map(|(replica, setup)| {
             let dispatcher = Arc::clone(&dispatcher);
             async move {
@@ -86,9 +83,10 @@
     }
 }
 
-/// Engines of all services with what they are to hold.
+/// Engines of all services that are asked for, with what they are to hold.
 fn engines(
     dispatcher: &dispatch::Dispatcher,
+    is_asked: impl Fn(&replica::Replica) -> bool,
 ) -> Vec<(replica::ChosenReplica, message::EngineSetup)> {
     let Some(current) = dispatcher.catalog.lock().current() else {
         return Vec::new();
@@ -103,7 +101,7 @@
         let Some(model) = engine.models.first() else {
             continue;
         };
-        for replica in members.of_service(&service.name, now) {
+        for replica in members.of_service(&service.name, &is_asked, now) {
             let setup = replica::engine_setup(&replica, engine, model.clone());
             engines.push((replica, setup));
         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -115,13 +115,18 @@
         ready.count()
     }
 
-    /// Replicas of a service, without what concerns a request.
+    /// Replicas of a service that are asked for, without what concerns a request.
     #[must_use]
-    pub fn of_service(&self, service: &str, now: units::Timestamp) -> Vec<replica::ChosenReplica> {
+    pub fn of_service(
+        &self,
+        service: &str,
+        is_asked: impl Fn(&replica::Replica) -> bool,
+        now: units::Timestamp,
+    ) -> Vec<replica::ChosenReplica> {
         let replicas = self
             .replicas
             .iter()
-            .filter(|replica| replica.record.service == service);
+            .filter(|replica| replica.record.service == service && is_asked(replica));
         replicas.map(|replica| replica.chosen(now)).collect()
     }
 
