Log why a broker refuses, and tell the longer wait

Change: a record 418 for each refusal with the inputs of the decision. Reason and Retry-After follow the longer of the two waits.

--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -221,6 +221,19 @@
             "sequence" => sequence, "outcome" => outcome);
     }
 
+    /// Logs why a request gets no place. A grant is told by the entry's record of the send.
+    fn log_refusal(&self, request: &str, reply: &message::PlaceReply, waited: time::Duration) {
+        let message::PlaceAnswer::Refused { reason, .. } = reply.answer else {
+            return;
+        };
+        let view = &reply.view;
+        slog::info!(self.logger, "no place";
+            "event" => events::PLACE_REFUSED.number, "name" => events::PLACE_REFUSED.name,
+            "request" => request, "reason" => reason.label(), "waited_ms" => millis(waited),
+            "running" => view.running, "backlog_ms" => millis(view.backlog),
+            "slot_wait_ms" => millis(view.slot_wait));
+    }
+
     /// Takes what the entry knows of the engine; false if it means an earlier incarnation.
     fn adopt(&self, state: &mut EngineState, engine: &message::EngineSetup) -> bool {
         if engine.name.incarnation < state.name.incarnation {
@@ -352,8 +365,11 @@
     fn place(&self, call: message::PlaceCall) -> BoxFuture<'_, message::PlaceReply> {
         Box::pin(async move {
             let asked = time::Instant::now();
+            let request = call.request.clone();
             let reply = self.take_place(call).await;
-            self.metrics.answered(&reply.answer, asked.elapsed());
+            let waited = asked.elapsed();
+            self.metrics.answered(&reply.answer, waited);
+            self.log_refusal(&request, &reply, waited);
             reply
         })
     }
@@ -368,6 +384,10 @@
     }
 }
 
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Runs a broker until the task is dropped.
 ///
 /// # Errors
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -118,12 +118,14 @@
         }
         if let Some(want) = &request.adapter {
             let wait = self.wait_for(want);
-            let is_slot_in_time = now + wait + LOAD_TIME + ahead <= request.objective;
-            if !wait.is_zero() && !is_slot_in_time {
-                return Some(places::PlaceOutcome::refused(
-                    places::PlaceRefusal::Slots,
-                    wait,
-                ));
+            let is_in_time = |wait| now + wait + LOAD_TIME + ahead <= request.objective;
+            if !wait.is_zero() && !is_in_time(wait) {
+                let reason = if is_in_time(time::Duration::ZERO) {
+                    places::PlaceRefusal::Slots
+                } else {
+                    places::PlaceRefusal::Backlog
+                };
+                return Some(places::PlaceOutcome::refused(reason, wait.max(ahead)));
             }
         }
         self.waiting.push(request);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -59,6 +59,7 @@
     BROKER_REGAINED = 415, "broker_regained";
     RECORD_UNREADABLE = 416, "record_unreadable";
     MODEL_ORDERED = 417, "model_ordered";
+    PLACE_REFUSED = 418, "place_refused";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
