Follow a replica to another address

Cause, found by reading: a record that lists a known id at another address kept the client of the broker at the old one. Places would have been asked for at an instance that the replica has left.

Change: the client follows the address, and what was known of the engine is dropped.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Address of the broker.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Whether calls are expected to be answered.
     #[must_use]
     pub fn is_reachable(&self, now: units::Timestamp) -> bool {
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -96,9 +96,15 @@
         }
         self.offset = offset;
         self.missing_until = None;
-        let is_new = record.incarnation != self.record.incarnation;
+        let has_moved = record.address != self.record.address;
+        let is_new = has_moved || record.incarnation != self.record.incarnation;
         let is_leaving = record.is_leaving && !self.record.is_leaving;
         self.record = record;
+        if has_moved {
+            let port = self.broker.address().port();
+            let broker = dialect::broker_address(self.record.address, port);
+            self.broker = Arc::new(client::BrokerClient::new(broker));
+        }
         if is_new {
             self.view = None;
             self.sample = None;
--- /dev/null
+++ b/crates/gateway/tests/replica.rs
@@ -0,0 +1,37 @@
+//! Replica whose record changes.
+
+use gateway::{members::MemberChange, replica::Replica, store::ReplicaRecord};
+
+const BROKER_PORT: u16 = 7380;
+
+fn record(address: &str, incarnation: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: "engine-0".to_owned(),
+        incarnation,
+        service: "writer".to_owned(),
+        address: address.parse().unwrap(),
+        data_centre: "north".to_owned(),
+        slots: 8,
+        is_leaving: false,
+        models: Vec::new(),
+    }
+}
+
+// Guards against requests to the broker of an instance that a replica has left: it started again
+// under its id on another one.
+#[test]
+fn a_replica_that_moved_has_another_broker() {
+    let mut replica = Replica::new(5, record("10.1.0.4:8200", 1), BROKER_PORT);
+    let change = replica.relist(6, record("10.2.0.9:8200", 2));
+    assert!(matches!(change, Some(MemberChange::Listed { .. })));
+    let broker = replica.broker.address();
+    assert_eq!(broker, "10.2.0.9:7380".parse().unwrap());
+}
+
+// Guards against a record that takes effect although a newer one is known.
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut replica = Replica::new(6, record("10.1.0.4:8200", 2), BROKER_PORT);
+    assert_eq!(replica.relist(5, record("10.2.0.9:8200", 1)), None);
+    assert_eq!(replica.record, record("10.1.0.4:8200", 2));
+}
