--- a/src/check.rs
+++ b/src/check.rs
@@ -169,7 +169,7 @@
     // Guards against settings that let a process start and then fail its callers.
     #[test_case(include_str!("../examples/gateway.yaml"), "grace_s: 8", "grace_s: 2", "shutdown")]
     #[test_case(include_str!("../examples/gateway.yaml"), "window_s: 10", "window_s: 0", "retry_budget")]
-    #[test_case(include_str!("../examples/broker.yaml"), "unstarted: 8", "unstarted: 0", "unstarted")]
+    #[test_case(include_str!("../examples/broker.yaml"), "unstarted: 1", "unstarted: 0", "unstarted")]
     fn unworkable_values_are_faults(text: &str, valid: &str, changed: &str, path: &str) {
         let report = check_text(&text.replace(valid, changed));
         assert!(report.faults[0].starts_with(path), "{:?}", report.faults);
