List the configured adapters at /v1/models

Client libraries ask for the models first and got 404. The entry lists the adapters of the configuration in force with their operators. The test starts the processes and failed before with 404.

--- a/crates/callers/src/handler.rs
+++ b/crates/callers/src/handler.rs
@@ -52,6 +52,14 @@
     pub body: Vec<u8>,
 }
 
+/// Adapter that callers may name as a model.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ModelName {
+    pub name: String,
+    /// Operator that owns the adapter.
+    pub operator: String,
+}
+
 /// Entry as the routes see it.
 pub trait RequestHandler: Send + Sync {
     /// Admits a completion and returns its answer.
@@ -72,6 +80,9 @@
     /// Metrics in the Prometheus text format.
     fn metrics(&self) -> String;
 
+    /// Adapters that callers may name as a model, sorted by name.
+    fn models(&self) -> Vec<ModelName>;
+
     /// State for `cowslipdeal status`.
     fn status(&self) -> serde_json::Value;
 }
--- a/crates/callers/src/render.rs
+++ b/crates/callers/src/render.rs
@@ -236,6 +236,20 @@
     }
 }
 
+/// List of models as the `OpenAI` interface gives it. Adapters have no time of creation.
+#[must_use]
+pub fn models(models: &[handler::ModelName]) -> serde_json::Value {
+    let data: Vec<_> = models
+        .iter()
+        .map(|model| {
+            serde_json::json!({
+                "id": model.name, "object": "model", "created": 0, "owned_by": model.operator,
+            })
+        })
+        .collect();
+    serde_json::json!({"object": "list", "data": data})
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/callers/src/routes.rs
+++ b/crates/callers/src/routes.rs
@@ -56,6 +56,7 @@
             .with_state(handler)
             .at("/v1/completions", route::post(handler_service(complete)))
             .at("/v1/chat/completions", route::post(handler_service(chat)))
+            .at("/v1/models", route::get(handler_service(models)))
             .at("/services/{*path}", handler_service(call_service))
             .at("/{*path}", handler_service(unknown_path))
             .at("/healthz", route::get(handler_service(health)))
@@ -221,6 +222,11 @@
     text_response(StatusCode::OK, context.state().metrics())
 }
 
+async fn models(context: &WebContext<'_, SharedHandler>) -> WebResponse {
+    let models = context.state().models();
+    json_response(StatusCode::OK, render::models(&models).to_string())
+}
+
 async fn status(context: &WebContext<'_, SharedHandler>) -> WebResponse {
     json_response(StatusCode::OK, context.state().status().to_string())
 }
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -4,7 +4,10 @@
 
 use std::sync::Arc;
 
-use callers::error::{CallerError, ErrorCode};
+use callers::{
+    error::{CallerError, ErrorCode},
+    handler,
+};
 use decisions::{ids, units};
 use futures::future::BoxFuture;
 use operators::{configuration, snapshot};
@@ -58,6 +61,22 @@
         state.map_or(0, |state| state.configuration.version())
     }
 
+    /// Configured adapters; none without a log, where every name is taken.
+    #[must_use]
+    pub fn models(&self) -> Vec<handler::ModelName> {
+        let state = self.state.as_ref().and_then(|state| state.borrow().clone());
+        let Some(state) = state else {
+            return Vec::new();
+        };
+        let adapters = state.configuration.adapters().iter();
+        adapters
+            .map(|adapter| handler::ModelName {
+                name: adapter.name.to_string(),
+                operator: adapter.operator.to_string(),
+            })
+            .collect()
+    }
+
     /// Whether requests can be resolved.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/entry/src/dispatcher.rs
+++ b/crates/entry/src/dispatcher.rs
@@ -343,6 +343,10 @@
         self.context.metrics.render()
     }
 
+    fn models(&self) -> Vec<handler::ModelName> {
+        self.configuration.models()
+    }
+
     fn status(&self) -> serde_json::Value {
         serde_json::json!({
             "entry": self.incarnation.to_string(),
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -138,3 +138,22 @@
     })
     .await;
 }
+
+// Guards against client libraries that ask for the models and get an error.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_configured_adapters_are_listed() {
+    bounded(async {
+        let cluster = Cluster::start().await;
+        cluster.configure().await;
+        let agent = cluster.agent(process::free_address(), &[]);
+        let entry = cluster.entry(&[agent.address]);
+        cluster::wait_version(entry.address, 1).await;
+        let answer = caller::send(entry.address, "GET", "/v1/models", "", "").await;
+        let listed: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+        let expected = serde_json::json!({"object": "list", "data": [
+            {"id": "notes", "object": "model", "created": 0, "owned_by": "northlink"},
+        ]});
+        assert_eq!((answer.status, listed), (200, expected));
+    })
+    .await;
+}
