Wait until a stopped process has stopped

On a busy machine a thread runs on for a while after SIGSTOP; the test took the signal for the stop.

Change: the tests wait until all threads of the process are in state T and then check as much as before.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -101,7 +101,7 @@
         let watches = entries
             .each_ref()
             .map(|entry| VersionWatch::start(entry.address));
-        entries[1].process.signal(Signal::STOP);
+        entries[1].process.stop().await;
         restarted.process.kill();
         let output = cluster.publish(1, cluster::SECOND_PATCH).await;
         assert_eq!(output.code, Some(0), "{output:?}");
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -144,7 +144,7 @@
         let first = setup.start_order(moment, LONG_DEADLINE).await;
         match fault {
             EntryFault::Kill => setup.first_entry.process.kill(),
-            EntryFault::Stop => setup.first_entry.process.signal(Signal::STOP),
+            EntryFault::Stop => setup.first_entry.process.stop().await,
         }
         setup.cluster.log.set_delay(time::Duration::ZERO);
         let second = tokio::spawn(caller::post_order(
@@ -199,7 +199,7 @@
         .await;
         match fault {
             Some(EntryFault::Kill) => setup.first_entry.process.kill(),
-            Some(EntryFault::Stop) => setup.first_entry.process.signal(Signal::STOP),
+            Some(EntryFault::Stop) => setup.first_entry.process.stop().await,
             None => {}
         }
         setup.cluster.log.set_delay(time::Duration::ZERO);
@@ -305,7 +305,7 @@
         };
         let is_stopped = matches!(fault, ClaimFault::Stopped | ClaimFault::StoppedAndLogDown);
         if is_stopped {
-            setup.first_entry.process.signal(Signal::STOP);
+            setup.first_entry.process.stop().await;
             pause(AFTER_SESSION_TIMEOUT).await;
         }
         if fault != ClaimFault::Stopped {
@@ -343,7 +343,7 @@
 async fn dispatch_to_a_stopped_agent_runs_at_most_once(has_key: bool) {
     bounded(async {
         let setup = OrderSetup::start().await;
-        setup.agent.process.signal(Signal::STOP);
+        setup.agent.process.stop().await;
         let key = if has_key {
             "idempotency-key: k\r\n"
         } else {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -53,6 +53,28 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Stops the process and waits until all its threads have stopped. On a busy machine a thread
+    /// may run on for a while after the signal.
+    pub async fn stop(&self) {
+        self.signal(Signal::STOP);
+        super::until("the process has stopped", || {
+            let is_stopped = self.has_stopped();
+            async move { is_stopped }
+        })
+        .await;
+    }
+
+    /// Whether all threads are in state `T` (stopped).
+    fn has_stopped(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        threads.flatten().all(|thread| {
+            let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            // The state follows the command name, which is in parentheses.
+            stat.rsplit_once(") ")
+                .is_some_and(|(_, fields)| fields.starts_with('T'))
+        })
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -71,6 +93,17 @@
         status.and_then(|status| status.code())
     }
 
+    /// Peak of the resident memory, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes: usize = line
+            .and_then(|line| line.trim().strip_suffix(" kB"))
+            .and_then(|text| text.parse().ok())
+            .unwrap();
+        kilobytes * 1024
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
