Drop missing replicas within the leave time after an outage

A replica whose record is missing after an outage of the store was kept for 2.5 s from the read that showed it, and that end was looked at only at the next read, up to 0.65 of the leave time later. The period stood twice, as a constant.

It is checked at every choice and after every wait for a permit, so that no read and no timer has to come in time. The interval between two reads has an upper bound.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod permit_table;
 pub mod permits;
 pub mod queueing;
+pub mod relisting;
 pub mod replica_choice;
 pub mod request_table;
 pub mod response_length;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -134,7 +134,7 @@
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.catalog.lock().current().is_some() && self.replicas.lock().available_count() > 0
+        self.catalog.lock().current().is_some() && self.replicas.lock().available_count(self.now()) > 0
     }
 
     /// Whether a request asks for a longer response than most.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -4,6 +4,7 @@
 
 use std::{sync::Arc, time};
 
+use decisions::relisting;
 use telemetry::events;
 use tokio::time::Instant;
 
@@ -20,8 +21,8 @@
 const MAX_BACKOFF: time::Duration = time::Duration::from_millis(800);
 /// Duration of an outage of the store after which missing replicas may be listed again.
 const OUTAGE_THRESHOLD: time::Duration = time::Duration::from_millis(1500);
-/// Time after an outage within which replicas publish their records again.
-const RELISTING_PERIOD: time::Duration = time::Duration::from_millis(2500);
+/// Maximum interval between two reads of replicas.
+const MAX_REPLICA_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
 /// Consecutive failed reads of one topic.
 struct StoreOutage {
@@ -29,8 +30,6 @@
     backoff: time::Duration,
     last_response_at: Instant,
     is_unavailable: bool,
-    /// Most recent recovery from a long outage.
-    recovered_at: Option<Instant>,
 }
 
 impl StoreOutage {
@@ -40,26 +39,22 @@
             backoff: MIN_BACKOFF,
             last_response_at: Instant::now(),
             is_unavailable: false,
-            recovered_at: None,
         }
     }
 
-    /// Records a successful read; true if the store recovered from a long outage recently.
+    /// Records a successful read; true if it is the first one after a long outage.
     fn record_success(&mut self, logger: &slog::Logger) -> bool {
-        if self.is_unavailable && self.last_response_at.elapsed() > OUTAGE_THRESHOLD {
-            self.recovered_at = Some(Instant::now());
-        }
+        let silence = self.last_response_at.elapsed();
+        let has_recovered = self.is_unavailable && silence > OUTAGE_THRESHOLD;
         if self.is_unavailable {
-            let outage =
-                u64::try_from(self.last_response_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let outage = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
             slog::info!(logger, "store responds again"; "event" => events::LOG_RECOVERED.number,
                 "name" => events::LOG_RECOVERED.name, "topic" => self.topic, "away_ms" => outage);
         }
         self.is_unavailable = false;
         self.backoff = MIN_BACKOFF;
         self.last_response_at = Instant::now();
-        self.recovered_at
-            .is_some_and(|at| at.elapsed() < RELISTING_PERIOD)
+        has_recovered
     }
 
     async fn record_failure(&mut self, error: &store::StoreError, logger: &slog::Logger) {
@@ -136,17 +131,23 @@
 ) {
     let mut from = None;
     let mut outage = StoreOutage::new("replicas");
-    let interval = dispatcher.settings.leave_ms.mul_f64(REPLICA_INTERVAL_RATIO);
+    let leave_time = dispatcher.settings.leave_ms;
+    let interval = leave_time
+        .mul_f64(REPLICA_INTERVAL_RATIO)
+        .min(MAX_REPLICA_INTERVAL);
+    let mut relisting = relisting::RelistingPeriod::new(leave_time);
     loop {
         let logger = dispatcher.request_logger.logger();
         match store.replicas(from).await {
             Ok(batch) => {
-                let was_unavailable = outage.record_success(logger);
                 from = Some(batch.next);
                 let now = dispatcher.now();
+                if outage.record_success(logger) {
+                    relisting.record_recovery(now);
+                }
                 let changes = {
                     let mut table = dispatcher.replicas.lock();
-                    let mut changes = table.apply_batch(batch, was_unavailable, now);
+                    let mut changes = table.apply_batch(batch, relisting.keep_until(now));
                     changes.extend(table.remove_expired(now));
                     changes
                 };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -114,7 +114,7 @@
         replicas.record_view(&replica.id, reply.view, now);
         match reply.decision {
             message::PermitDecision::Granted { version }
-                if replicas.accepts_requests(&replica.id) =>
+                if replicas.accepts_requests(&replica.id, now) =>
             {
                 Ok(AssignedReplica {
                     replica,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -118,6 +118,18 @@
         is_draining.then_some(replica_table::ReplicaTableChange::Draining { id })
     }
 
+    /// Whether it is neither draining nor missing in the store.
+    #[must_use]
+    pub fn accepts_requests(&self, now: units::Timestamp) -> bool {
+        !self.record.is_draining && !self.is_expired(now)
+    }
+
+    /// Whether its record is missing and the time for which it was kept is over.
+    #[must_use]
+    pub fn is_expired(&self, now: units::Timestamp) -> bool {
+        self.missing_until.is_some_and(|until| now >= until)
+    }
+
     /// Sort key of an order that all entries share.
     #[must_use]
     pub fn address_hash(&self) -> u64 {
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -2,7 +2,8 @@
 //!
 //! Records from the store are merged with the state from responses and brokers. A replica that is
 //! draining, or no longer in the store, gets no more requests. After an outage of the store,
-//! missing replicas are kept for a grace period, because live ones publish their records again.
+//! missing replicas are kept for a grace period, because live ones publish their records again. Its
+//! end is checked at every choice, because the next read of the store may come much later.
 
 use std::{net, time};
 
@@ -12,8 +13,6 @@
 
 use crate::{plan, protocol, replica, store};
 
-/// Time for which missing replicas are kept after an outage.
-const MISSING_GRACE_PERIOD: time::Duration = time::Duration::from_millis(2500);
 /// Time for which an unreachable replica is not chosen.
 const UNREACHABLE_PERIOD: time::Duration = time::Duration::from_millis(1200);
 
@@ -57,13 +56,11 @@
         }
     }
 
-    /// Applies changes from the store. `after_outage` states that the store has recently recovered
-    /// from an outage.
+    /// Applies changes from the store. Missing replicas are kept until `keep_until`, if it is set.
     pub fn apply_batch(
         &mut self,
         batch: store::ChangeBatch<store::ReplicaChange>,
-        after_outage: bool,
-        now: units::Timestamp,
+        keep_until: Option<units::Timestamp>,
     ) -> Vec<ReplicaTableChange> {
         let mut changes = Vec::new();
         let is_current = batch.next >= self.next_offset;
@@ -74,17 +71,17 @@
                     listed.push(record.id.clone());
                     changes.extend(self.upsert(offset, record));
                 }
-                store::ReplicaChange::Removed { id } if after_outage => {
-                    self.mark_missing(&id, offset, now);
-                }
-                store::ReplicaChange::Removed { id } => changes.extend(self.remove(&id, offset)),
+                store::ReplicaChange::Removed { id } => match keep_until {
+                    Some(until) => self.mark_missing(&id, offset, until),
+                    None => changes.extend(self.remove(&id, offset)),
+                },
                 store::ReplicaChange::Unreadable { id } => {
                     changes.push(ReplicaTableChange::Unreadable { id });
                 }
             }
         }
         if batch.is_complete && is_current {
-            changes.extend(self.remove_missing(&listed, after_outage, now));
+            changes.extend(self.remove_missing(&listed, keep_until));
         }
         self.next_offset = self.next_offset.max(batch.next);
         changes
@@ -92,29 +89,30 @@
 
     /// Removes missing replicas whose grace period has passed.
     pub fn remove_expired(&mut self, now: units::Timestamp) -> Vec<ReplicaTableChange> {
-        let is_over =
-            |replica: &replica::Replica| replica.missing_until.is_some_and(|until| now >= until);
-        let gone = self.replicas.iter().filter(|replica| is_over(replica));
+        let gone = self
+            .replicas
+            .iter()
+            .filter(|replica| replica.is_expired(now));
         let changes = gone.map(replica::Replica::removal).collect();
-        self.replicas.retain(|replica| !is_over(replica));
+        self.replicas.retain(|replica| !replica.is_expired(now));
         changes
     }
 
-    /// Whether a replica exists and is not draining.
+    /// Whether a replica exists and is not leaving.
     #[must_use]
-    pub fn accepts_requests(&self, id: &str) -> bool {
+    pub fn accepts_requests(&self, id: &str, now: units::Timestamp) -> bool {
         let found = self.find(id).ok();
-        found.is_some_and(|position| !self.replicas[position].record.is_draining)
+        found.is_some_and(|position| self.replicas[position].accepts_requests(now))
     }
 
-    /// Number of replicas that are not draining.
+    /// Number of replicas that are not leaving.
     #[must_use]
-    pub fn available_count(&self) -> usize {
-        let ready = self
+    pub fn available_count(&self, now: units::Timestamp) -> usize {
+        let available = self
             .replicas
             .iter()
-            .filter(|replica| !replica.record.is_draining);
-        ready.count()
+            .filter(|replica| replica.accepts_requests(now));
+        available.count()
     }
 
     /// Replicas of a service for which `is_selected` holds, without the fields of a request.
@@ -258,36 +256,31 @@
         Some(self.replicas.remove(position).removal())
     }
 
-    /// Keeps a replica whose record expired during an outage for the grace period.
-    fn mark_missing(&mut self, id: &str, offset: u64, now: units::Timestamp) {
+    /// Keeps a replica whose record may have expired during an outage.
+    fn mark_missing(&mut self, id: &str, offset: u64, keep_until: units::Timestamp) {
         if let Some(replica) = self.find_mut(id)
             && offset >= replica.offset
         {
-            replica
-                .missing_until
-                .get_or_insert(now + MISSING_GRACE_PERIOD);
+            replica.missing_until.get_or_insert(keep_until);
         }
     }
 
     fn remove_missing(
         &mut self,
         listed: &[String],
-        after_outage: bool,
-        now: units::Timestamp,
+        keep_until: Option<units::Timestamp>,
     ) -> Vec<ReplicaTableChange> {
         let mut changes = Vec::new();
         for replica in &mut self.replicas {
             if listed.contains(&replica.record.id) {
                 replica.missing_until = None;
-            } else if after_outage {
-                replica
-                    .missing_until
-                    .get_or_insert(now + MISSING_GRACE_PERIOD);
+            } else if let Some(until) = keep_until {
+                replica.missing_until.get_or_insert(until);
             } else {
                 changes.push(replica.removal());
             }
         }
-        if !after_outage {
+        if keep_until.is_none() {
             self.replicas
                 .retain(|replica| listed.contains(&replica.record.id));
         }
