Count shared parts of a prompt for the replica that has the adapter

Cause: a second copy of an adapter was chosen as soon as its load took less time than the wait at the holder. Besides, the permit of a caller that left during its wait was released at time zero, which recorded a hold time of zero and made its adapter the first to be evicted.

Change: views tell the prefill time of a token; a replica without the adapter costs the prefill of the shared parts in addition. The release carries the present time.

Test: shared_parts_speak_for_the_holder.

--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -157,7 +157,7 @@
                 state.broker.engine_lost()
             }
         };
-        state.deliver_outcomes(outcomes);
+        state.deliver_outcomes(outcomes, now);
     }
 
     /// Sends the next command; true if the engine's state may have changed.
@@ -323,14 +323,18 @@
 
 impl EngineState {
     /// Sends outcomes to waiting calls; releases the permit of a call that was cancelled.
-    fn deliver_outcomes(&mut self, outcomes: Vec<(permits::PermitId, permits::PermitOutcome)>) {
+    fn deliver_outcomes(
+        &mut self,
+        outcomes: Vec<(permits::PermitId, permits::PermitOutcome)>,
+        now: units::Timestamp,
+    ) {
         for (id, outcome) in outcomes {
             let Some(position) = self.waiting.iter().position(|permit| permit.id == id) else {
                 continue;
             };
             let permit = self.waiting.swap_remove(position);
             if permit.outcome.send(outcome).is_err() {
-                self.broker.release(id, units::Timestamp::default());
+                self.broker.release(id, now);
             }
         }
     }
@@ -358,6 +362,7 @@
             recent: self.broker.recent().map(str::to_owned).collect(),
             slot_wait: self.broker.slot_wait(),
             backlog: self.broker.backlog(now),
+            prefill_token_time: self.broker.prefill_token_time(),
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
         }
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -295,7 +295,7 @@
     ) -> Vec<&replica::Replica> {
         let usable = |replica: &&replica::Replica| {
             replica.record.service == service
-                && !replica.record.is_draining
+                && replica.accepts_requests(now)
                 && !excluded.contains(&replica.record.id)
                 && !self.is_superseded(replica)
         };
@@ -357,6 +357,7 @@
             length_affinity,
             slot_wait: view.map_or(time::Duration::ZERO, |view| view.slot_wait),
             backlog: replica.backlog(now),
+            shared_prefill: replica.shared_prefill(plan, now),
             is_local: replica.record.data_centre == self.data_centre,
             failures: replica.failures.rate(now),
             rank,
