Read fractional bounds, and bound what a replica may send

Causes: (1) on the small twins budget_slack is 38.26, and all gateways ended at their start with "invalid u32". (2) Bytes that are no answer may come without end. A head could have 400 KB, interim responses had no limit, a whole response could have 16 MiB without a limit for all of them, and an event over 256 KiB was passed on in parts, so that a caller got bytes that are no event. A stream without a length that ended within an event was passed on as complete.

Change: gateway::numbers reads any number of the settings as a number of its unit; counts are rounded down, an empty value stands for the default, negative numbers and texts end the process with the field. The gateway validates its settings at its start. gateway::buffers derives limits from the instance's memory and keeps a budget over all responses; beyond three quarters of it new requests are refused as not run. Heads have 16 KiB, interim responses a limit of 16. A stream is broken when an event exceeds its limit, when bytes bring no event for as long as callers wait for one, or when it ends within an event without a length. Comments and blank lines wait for the next event. Responses over a limit are logged (310) and counted. Reading of responses moved from dispatch to responses.

--- a/crates/decisions/tests/replica_choice.rs
+++ b/crates/decisions/tests/replica_choice.rs
@@ -47,8 +47,14 @@
 #[test_case(170, 0; "long shared parts")]
 fn shared_parts_speak_for_the_holder(shared_millis: u64, expected: usize) {
     let shared_prefill = time::Duration::from_millis(shared_millis);
-    let copy = ReplicaOption { shared_prefill, ..cold(0) };
-    let holder = ReplicaOption { shared_prefill, ..with_backlog(400) };
+    let copy = ReplicaOption {
+        shared_prefill,
+        ..cold(0)
+    };
+    let holder = ReplicaOption {
+        shared_prefill,
+        ..with_backlog(400)
+    };
     assert_eq!(choose(&[holder, copy]), Some(expected));
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{dispatch, local_reply, plan};
+use crate::{dispatch, local_reply, plan, responses};
 
 /// Whether the request of a failed attempt ran.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,7 +21,7 @@
     pub execution: ExecutionStatus,
     pub reason: &'static str,
     /// Failure response of the replica, passed on if there is no further attempt.
-    pub response: Option<dispatch::BufferedResponse>,
+    pub response: Option<responses::BufferedResponse>,
     /// The retry was already taken from the budget.
     pub has_reserved_retry: bool,
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -3,7 +3,14 @@
 //! A connection carries one request at a time. It returns to the pool only after a complete
 //! response; dropping it earlier closes it, which cancels the request at the replica.
 
-use std::{io, net, time};
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -21,6 +28,11 @@
 const ACKNOWLEDGEMENT_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 /// Idle time after which a connection is not reused, unless the replica states a shorter one.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(8);
+/// Maximum length of the head of a response, and of a read. Hundreds of connections may each hold a
+/// few reads.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum number of interim responses (1xx) to one request.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
@@ -41,13 +53,33 @@
     NotSent,
     #[snafu(display("the connection broke after the request was sent: {source}"))]
     Lost { source: hyper::Error },
+    #[snafu(display("the head of the response has more than {limit} bytes"))]
+    HeadTooLong { limit: usize },
+    #[snafu(display("more than {limit} interim responses"))]
+    InterimOverflow { limit: u32 },
 }
 
 impl SendError {
     /// Whether no byte of the request reached the replica.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Self::Lost { .. })
+        match self {
+            Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent => true,
+            Self::Lost { .. } | Self::HeadTooLong { .. } | Self::InterimOverflow { .. } => false,
+        }
+    }
+
+    /// Label in logs and counters.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Connect { .. } => "connect_failed",
+            Self::ConnectTimeout { .. } => "connect_timeout",
+            Self::NotSent => "connection_closed",
+            Self::Lost { .. } => "connection_lost",
+            Self::HeadTooLong { .. } => "head_too_long",
+            Self::InterimOverflow { .. } => "interim_overflow",
+        }
     }
 }
 
@@ -84,7 +116,9 @@
             .ok_or(SendError::ConnectTimeout { address, limit })?
             .context(ConnectSnafu { address })?;
         set_socket_options(&stream).context(ConnectSnafu { address })?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         let driver = tokio::spawn(async move {
@@ -112,21 +146,44 @@
     /// [`SendError`], which tells whether the request may have reached the replica.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.ready().await.map_err(|_| SendError::NotSent)?;
+        let interim_count = self.limit_interim_responses(&mut request);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 if error.take_message().is_some() {
                     return Err(SendError::NotSent);
                 }
-                Err(SendError::Lost {
-                    source: error.into_error(),
-                })
+                let limit = MAX_INTERIM_RESPONSES;
+                if interim_count.load(Ordering::Relaxed) > limit {
+                    return Err(SendError::InterimOverflow { limit });
+                }
+                Err(lost_error(error.into_error()))
             }
         }
     }
+
+    /// Closes the connection when there are too many interim responses, which `hyper` skips.
+    fn limit_interim_responses(&self, request: &mut Request<Full<Bytes>>) -> Arc<AtomicU32> {
+        let count = Arc::new(AtomicU32::new(0));
+        let (counted, driver) = (Arc::clone(&count), self.driver.clone());
+        hyper::ext::on_informational(request, move |_| {
+            if counted.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                driver.abort();
+            }
+        });
+        count
+    }
+}
+
+fn lost_error(source: hyper::Error) -> SendError {
+    if source.is_parse_too_large() {
+        let limit = MAX_HEAD_BYTES;
+        return SendError::HeadTooLong { limit };
+    }
+    SendError::Lost { source }
 }
 
 struct IdleConnection {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,26 +8,24 @@
 use bytes::Bytes;
 use decisions::{response_length, retry_budget, units};
 use http::{Request, Response, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use crate::{
-    attempts, catalog, connections, local_reply, metrics, placement, plan, protocol, replica,
-    replica_table, request_logger, settings,
+    attempts, buffers, catalog, connections, local_reply, metrics, placement, plan, protocol,
+    replica, replica_table, request_logger, responses, settings,
 };
 
 /// Timeout of a new connection to a replica.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Time after a deadline in which the replica's own deadline response may still arrive.
-const RESPONSE_GRACE_PERIOD: time::Duration = time::Duration::from_millis(120);
+pub const RESPONSE_GRACE_PERIOD: time::Duration = time::Duration::from_millis(120);
 /// Maximum number of failed connections per request.
 const MAX_CONNECT_FAILURES: usize = 3;
 /// Minimum time without a response after which another replica is tried.
 const MIN_SWITCH_DELAY: time::Duration = time::Duration::from_millis(400);
-/// Maximum length of a response that is buffered.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// State shared by all requests of a gateway.
 pub struct Dispatcher {
@@ -40,6 +38,7 @@
     pub budget: Mutex<retry_budget::RetryBudget>,
     pub lengths: Mutex<response_length::ResponseLengths>,
     pub pool: connections::ConnectionPool,
+    pub buffers: Arc<buffers::BufferBudget>,
     pub request_logger: request_logger::RequestLogger,
     pub metrics: metrics::GatewayMetrics,
     /// Number of the newest permit.
@@ -70,17 +69,11 @@
     }
 }
 
-/// Complete response of a replica.
-pub struct BufferedResponse {
-    pub head: response::Parts,
-    pub body: Bytes,
-}
-
 /// Outcome of all attempts at a request.
 pub enum DispatchOutcome {
     Buffered {
         replica: String,
-        response: BufferedResponse,
+        response: responses::BufferedResponse,
     },
     /// Stream that has started, with the number of sends so far.
     Stream(Box<OpenAttempt>, u32),
@@ -111,6 +104,7 @@
                 settings.broker_port,
             )),
             budget: Mutex::new(retry_budget::RetryBudget::new(limits, entries)),
+            buffers: Arc::new(buffers::BufferBudget::new(settings.buffer_limits())),
             settings,
             incarnation,
             wire,
@@ -134,7 +128,8 @@
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.catalog.lock().current().is_some() && self.replicas.lock().available_count(self.now()) > 0
+        self.catalog.lock().current().is_some()
+            && self.replicas.lock().available_count(self.now()) > 0
     }
 
     /// Whether a request asks for a longer response than most.
@@ -204,7 +199,7 @@
                 .lock()
                 .mark_unreachable(&replica.id, self.now());
             self.pool.remove_idle(replica.address);
-            AttemptError::not_sent(&replica.id, connect_failure_label(&error))
+            AttemptError::not_sent(&replica.id, error.label())
         })?;
         history.sent_count += 1;
         self.request_logger
@@ -317,9 +312,12 @@
         match cause {
             SendFailure::Connection(error) if error.is_unsent() => {
                 failure.execution = attempts::ExecutionStatus::NotSent;
-                failure.reason = "connection_closed";
+                failure.reason = error.label();
+            }
+            SendFailure::Connection(error) => {
+                failure.reason = error.label();
+                replicas.record_outcome(&replica.id, true, now);
             }
-            SendFailure::Connection(_) => replicas.record_outcome(&replica.id, true, now),
             SendFailure::Unresponsive => {
                 failure.reason = "silent";
                 failure.has_reserved_retry = true;
@@ -333,102 +331,6 @@
         failure
     }
 
-    /// Turns a response into an open attempt or a failure.
-    async fn classify_response(
-        &self,
-        plan: &plan::RequestPlan,
-        open: OpenAttempt,
-    ) -> Result<OpenAttempt, AttemptError> {
-        let class = self.wire.classify(&open.head, &plan.request.id);
-        let id = open.replica.id.clone();
-        let failed = matches!(
-            class,
-            protocol::ResponseClass::Failed | protocol::ResponseClass::Unverified
-        );
-        self.replicas.lock().record_outcome(&id, failed, self.now());
-        match class {
-            protocol::ResponseClass::Succeeded => Ok(open),
-            protocol::ResponseClass::NotRun => {
-                self.drain_body(open).await;
-                Err(attempts::AttemptFailure::new(
-                    &id,
-                    attempts::ExecutionStatus::NotRun,
-                    "replica_refused",
-                )
-                .into())
-            }
-            protocol::ResponseClass::Misdirected => {
-                self.drain_body(open).await;
-                Err(attempts::AttemptFailure::new(
-                    &id,
-                    attempts::ExecutionStatus::NotRun,
-                    "misdirected",
-                )
-                .into())
-            }
-            protocol::ResponseClass::Unverified => Err(attempts::AttemptFailure::new(
-                &id,
-                attempts::ExecutionStatus::Unknown,
-                "foreign_answer",
-            )
-            .into()),
-            protocol::ResponseClass::Failed => {
-                let mut failure = attempts::AttemptFailure::new(
-                    &id,
-                    attempts::ExecutionStatus::Ran,
-                    "replica_failed",
-                );
-                match self.read_response(plan, open).await {
-                    Ok((_, response)) => failure.response = Some(response),
-                    Err(_) => failure.execution = attempts::ExecutionStatus::Unknown,
-                }
-                Err(failure.into())
-            }
-        }
-    }
-
-    /// Buffers a whole response, so that the caller never gets a partial one.
-    async fn read_response(
-        &self,
-        plan: &plan::RequestPlan,
-        open: OpenAttempt,
-    ) -> Result<(String, BufferedResponse), attempts::AttemptFailure> {
-        let body = http_body_util::Limited::new(open.body, MAX_RESPONSE_BYTES);
-        let limit = plan.deadline + RESPONSE_GRACE_PERIOD;
-        let id = open.replica.id;
-        match tokio::time::timeout_at(limit, body.collect()).await {
-            Ok(Ok(body)) => {
-                self.recycle_connection(open.connection, &open.head);
-                let response = BufferedResponse {
-                    head: open.head,
-                    body: body.to_bytes(),
-                };
-                Ok((id, response))
-            }
-            Ok(Err(_)) => {
-                self.replicas.lock().record_outcome(&id, true, self.now());
-                Err(attempts::AttemptFailure::new(
-                    &id,
-                    attempts::ExecutionStatus::Unknown,
-                    "answer_broken",
-                ))
-            }
-            Err(_) => Err(attempts::AttemptFailure::new(
-                &id,
-                attempts::ExecutionStatus::Unknown,
-                "timeout",
-            )),
-        }
-    }
-
-    /// Reads the rest of a refusal, so that its connection can be reused.
-    async fn drain_body(&self, open: OpenAttempt) {
-        let body = http_body_util::Limited::new(open.body, MAX_RESPONSE_BYTES);
-        if let Ok(Ok(_)) = tokio::time::timeout(RESPONSE_GRACE_PERIOD, body.collect()).await {
-            self.recycle_connection(open.connection, &open.head);
-        }
-    }
-
     /// Whether to make another attempt after a failure.
     fn may_retry(
         &self,
@@ -495,10 +397,3 @@
         Self::Failed(failure)
     }
 }
-
-fn connect_failure_label(error: &connections::SendError) -> &'static str {
-    match error {
-        connections::SendError::ConnectTimeout { .. } => "connect_timeout",
-        _ => "connect_failed",
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! of [`protocol`] and [`store`] define how requests, responses and records are encoded.
 
 pub mod attempts;
+pub mod buffers;
 pub mod catalog;
 pub mod connections;
 pub mod dispatch;
@@ -12,6 +13,7 @@
 pub mod heartbeats;
 pub mod local_reply;
 pub mod metrics;
+pub mod numbers;
 pub mod placement;
 pub mod plan;
 pub mod protocol;
@@ -19,6 +21,7 @@
 pub mod replica;
 pub mod replica_table;
 pub mod request_logger;
+pub mod responses;
 pub mod server;
 pub mod settings;
 pub mod sse;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    over_limit: Counter<u64>,
     response_times: Histogram<f64>,
     first_event_times: Histogram<f64>,
     permit_waits: Histogram<f64>,
@@ -31,6 +32,7 @@
             requests: meter.u64_counter("gateway_requests").build(),
             refusals: meter.u64_counter("gateway_refusals").build(),
             retries: meter.u64_counter("gateway_retries").build(),
+            over_limit: meter.u64_counter("gateway_responses_over_limit").build(),
             response_times: metrics::seconds_histogram(&meter, "gateway_answer_seconds"),
             first_event_times: metrics::seconds_histogram(&meter, "gateway_first_event_seconds"),
             permit_waits: metrics::seconds_histogram(&meter, "gateway_place_wait_seconds"),
@@ -53,6 +55,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a response that exceeded a limit.
+    pub fn record_over_limit(&self, reason: &'static str) {
+        self.over_limit.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records the time from a request to the end of its response.
     pub fn record_response(&self, elapsed: time::Duration) {
         self.response_times.record(elapsed.as_secs_f64(), &[]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream event by event and resumes it at another replica if it breaks.
 
-use std::{io, sync::Arc, time};
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
 use futures::{Stream, stream};
@@ -9,10 +9,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::{attempts, catalog, dispatch, plan, request_logger, sse};
-
-/// Time after the deadline in which the end of a stream may still arrive.
-const RESPONSE_GRACE_PERIOD: time::Duration = time::Duration::from_millis(120);
+use crate::{attempts, catalog, dispatch, plan, request_logger, responses, sse};
 
 /// Frame for the caller, or the error that aborts the stream.
 type RelayFrame = Result<Frame<Bytes>, io::Error>;
@@ -26,6 +23,8 @@
     sent_count: u32,
     timing: request_logger::StreamTiming,
     last_event_at: Option<Instant>,
+    /// Most recent event, or the start of the attempt.
+    progressed_at: Instant,
     is_ended: bool,
 }
 
@@ -52,14 +51,16 @@
     attempt: dispatch::OpenAttempt,
     sent_count: u32,
 ) -> impl Stream<Item = RelayFrame> + Send {
+    let splitter = sse::EventSplitter::new(dispatcher.buffers.limits().event_bytes);
     let relay = StreamRelay {
         dispatcher,
         plan,
         attempt: Some(attempt),
-        splitter: sse::EventSplitter::default(),
+        splitter,
         sent_count,
         timing: request_logger::StreamTiming::default(),
         last_event_at: None,
+        progressed_at: Instant::now(),
         is_ended: false,
     };
     stream::unfold(relay, |mut relay| async move {
@@ -72,33 +73,73 @@
     /// Next frame; `None` after the end.
     async fn next(&mut self) -> Option<RelayFrame> {
         while !self.is_ended {
-            match self.read().await {
-                StreamRead::Bytes(bytes) => {
-                    if let Some(whole) = self.splitter.push(&bytes) {
-                        self.record_event();
-                        return Some(Ok(Frame::data(whole)));
-                    }
-                }
+            let failure = match self.read().await {
+                StreamRead::Bytes(bytes) => match self.split(&bytes) {
+                    Ok(Some(whole)) => return Some(Ok(Frame::data(whole))),
+                    Ok(None) => continue,
+                    Err(reason) => reason,
+                },
+                StreamRead::End if self.is_truncated() => "stream_truncated",
                 StreamRead::End => {
                     self.finish();
                     return self.splitter.finish().map(|rest| Ok(Frame::data(rest)));
                 }
-                StreamRead::Broken(reason) => {
-                    if !self.resume(reason).await {
-                        return Some(Err(self.abort(reason)));
-                    }
-                }
+                StreamRead::Broken(reason) => reason,
                 StreamRead::TimedOut => return Some(Err(self.abort("timeout"))),
+            };
+            if !self.resume(failure).await {
+                return Some(Err(self.abort(failure)));
             }
         }
         None
     }
 
+    /// Events that the bytes complete; fails with the reason why the stream is broken.
+    fn split(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, &'static str> {
+        let whole = match self.splitter.push(bytes) {
+            Ok(whole) => whole,
+            Err(overflow) => {
+                self.record_overflow(overflow);
+                return Err("event_too_long");
+            }
+        };
+        if whole.is_some() {
+            self.record_event();
+        } else if self.progressed_at.elapsed() > self.plan.route.stream_event_timeout {
+            // The replica sends bytes but no event. Its caller has left or will leave.
+            return Err("no_progress");
+        }
+        Ok(whole)
+    }
+
+    fn record_overflow(&self, overflow: sse::EventOverflow) {
+        let attempt = self.attempt.as_ref();
+        let replica = attempt.map_or("", |attempt| attempt.replica.id.as_str());
+        let reason = "event_too_long";
+        self.dispatcher.metrics.record_over_limit(reason);
+        self.dispatcher.request_logger.log_over_limit(
+            &self.plan,
+            replica,
+            reason,
+            overflow.bytes,
+            overflow.limit,
+        );
+    }
+
+    /// Whether the stream ended within an event. Only a response without a length can end early
+    /// without an error.
+    fn is_truncated(&self) -> bool {
+        let attempt = self.attempt.as_ref();
+        let has_length =
+            attempt.is_some_and(|attempt| responses::has_length(&attempt.head.headers));
+        self.splitter.has_partial() && !has_length
+    }
+
     async fn read(&mut self) -> StreamRead {
         let Some(attempt) = &mut self.attempt else {
             return StreamRead::Broken("no_replica");
         };
-        let limit = self.plan.deadline + RESPONSE_GRACE_PERIOD;
+        let limit = self.plan.deadline + dispatch::RESPONSE_GRACE_PERIOD;
         match tokio::time::timeout_at(limit, attempt.body.frame()).await {
             Err(_) => StreamRead::TimedOut,
             Ok(None) => StreamRead::End,
@@ -112,6 +153,7 @@
 
     fn record_event(&mut self) {
         let now = Instant::now();
+        self.progressed_at = now;
         let Some(earlier) = self.last_event_at.replace(now) else {
             self.timing.first_event = now.saturating_duration_since(self.plan.received_at);
             self.dispatcher
@@ -174,6 +216,7 @@
                         .request_logger
                         .log_stream_resume(&self.plan, &from, to, after);
                     self.attempt = Some(attempt);
+                    self.progressed_at = Instant::now();
                     return true;
                 }
                 Err(dispatch::AttemptError::Refused(_)) => return false,
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -114,6 +114,22 @@
             "elapsed_ms" => millis(plan.received_at.elapsed()));
     }
 
+    /// Logs a response that exceeded a limit and was abandoned.
+    pub fn log_over_limit(
+        &self,
+        plan: &plan::RequestPlan,
+        replica: &str,
+        reason: &str,
+        bytes: usize,
+        limit: usize,
+    ) {
+        slog::warn!(self.logger, "response over a limit";
+            "event" => events::RESPONSE_OVER_LIMIT.number,
+            "name" => events::RESPONSE_OVER_LIMIT.name,
+            "request" => &plan.request.id, "replica" => replica, "reason" => reason,
+            "bytes" => bytes, "limit" => limit);
+    }
+
     /// Logs a caller that disconnected before the end of its response.
     pub fn log_abandoned(&self, plan: &plan::RequestPlan) {
         slog::info!(self.logger, "caller disconnected";
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -96,7 +96,7 @@
     let stopped_at = Instant::now();
     logs::info(&logger, events::PROCESS_DRAINING, "gateway draining");
     phase.send_replace(ServingPhase::Draining);
-    tokio::time::sleep(shutdown.rotation_ms).await;
+    tokio::time::sleep(shutdown.rotation_time()).await;
     phase.send_replace(ServingPhase::Closing);
     let limit = stopped_at + shutdown.grace_s.saturating_sub(SHUTDOWN_RESERVE);
     if tokio::time::timeout_at(limit, accepting).await.is_err() {
@@ -229,6 +229,9 @@
         }
         Err(_) => return build_local_reply(dispatcher, &id, &local_reply::LocalReply::BAD_REQUEST),
     };
+    if dispatcher.buffers.is_nearly_exhausted() {
+        return build_local_reply(dispatcher, &id, &local_reply::LocalReply::BUFFERS_FULL);
+    }
     let plan = {
         let catalog = dispatcher.catalog.lock();
         plan::RequestPlan::new(decoded, head, body, received_at, &catalog)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,9 +3,20 @@
 use std::{net, time};
 
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
+use serde_with::serde_as;
 
-/// Settings file of a gateway, in YAML.
+use crate::{buffers, numbers};
+
+const MB: usize = 1_000_000;
+/// Memory with which a gateway can buffer the responses of its requests.
+const MIN_MEMORY_MB: u32 = 32;
+
+/// Time for which a load balancer that checks readiness once a second and allows for one miss may
+/// still open connections after SIGTERM.
+const DEFAULT_ROTATION_TIME: time::Duration = time::Duration::from_millis(2_600);
+
+/// Settings file of a gateway, in YAML. A bound that the platform does not name is left empty and
+/// has the default stated here.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -20,9 +31,14 @@
     pub broker_port: u16,
     /// Data centres of the deployment.
     pub data_centres: Vec<String>,
-    /// Time after which a draining replica must get no more requests, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    /// Time after which a draining replica must get no more requests, in milliseconds; 2,000 if
+    /// empty.
+    #[serde_as(as = "numbers::Milliseconds<2_000>")]
     pub leave_ms: time::Duration,
+    /// Memory of the instance, in MB; 160 if empty. Limits on buffered responses follow from it.
+    #[serde_as(as = "numbers::CountOrDefault<160>")]
+    #[serde(default = "default_memory")]
+    pub memory_mb: u32,
     pub retry_budget: RetryBudgetSettings,
     pub shutdown: ShutdownLimits,
 }
@@ -41,12 +57,14 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct RetryBudgetSettings {
-    /// Retries per request.
+    /// Retries per request; 0.1 if empty.
+    #[serde_as(as = "numbers::RatioOrDefault<10>")]
     pub ratio: f64,
-    /// Retries in a window in addition to the ratio.
+    /// Retries in a window in addition to the ratio; none if empty.
+    #[serde_as(as = "numbers::CountOrDefault<0>")]
     pub slack: u32,
-    /// In seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// In seconds; 10 if empty.
+    #[serde_as(as = "numbers::Seconds<10>")]
     pub window_s: time::Duration,
 }
 
@@ -55,15 +73,37 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct ShutdownLimits {
-    /// Time from SIGTERM to the forced end, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// Time from SIGTERM to the forced end, in seconds; 5 if empty.
+    #[serde_as(as = "numbers::Seconds<5>")]
     pub grace_s: time::Duration,
-    /// Time for which new connections are accepted after SIGTERM, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub rotation_ms: time::Duration,
+    /// Time for which new connections are accepted after SIGTERM, in milliseconds; 2,600 if
+    /// omitted, and at most half of the time until the forced end.
+    #[serde_as(as = "Option<numbers::Milliseconds<0>>")]
+    #[serde(default)]
+    pub rotation_ms: Option<time::Duration>,
+}
+
+impl ShutdownLimits {
+    /// Time for which new connections are accepted after SIGTERM.
+    #[must_use]
+    pub fn rotation_time(&self) -> time::Duration {
+        let default = || DEFAULT_ROTATION_TIME.min(self.grace_s / 2);
+        self.rotation_ms.unwrap_or_else(default)
+    }
+}
+
+fn default_memory() -> u32 {
+    160
 }
 
 impl GatewaySettings {
+    /// Limits on buffered responses.
+    #[must_use]
+    pub fn buffer_limits(&self) -> buffers::BufferLimits {
+        let memory_mb = usize::try_from(self.memory_mb).unwrap_or(usize::MAX);
+        buffers::BufferLimits::of_memory(memory_mb.saturating_mul(MB))
+    }
+
     /// Invalid values that the format allows, each with the setting to change.
     #[must_use]
     pub fn validate(&self) -> Vec<String> {
@@ -86,6 +126,10 @@
             self.broker_port > 0,
             "broker_port: 0; give the port of the brokers",
         );
+        check(
+            self.memory_mb >= MIN_MEMORY_MB,
+            "memory_mb: below 32; responses could not be buffered",
+        );
         let budget = self.retry_budget;
         check(
             budget.ratio >= 0.0 && budget.ratio.is_finite(),
@@ -97,7 +141,7 @@
         );
         let limits = self.shutdown;
         check(
-            limits.rotation_ms < limits.grace_s,
+            limits.rotation_time() < limits.grace_s,
             "shutdown.rotation_ms: not below grace_s; requests would be cut off",
         );
         errors
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -1,48 +1,86 @@
 //! Splits the bytes of an event stream into server-sent events.
 //!
 //! Only complete events are passed on, so that a stream that breaks in the middle of an event can
-//! be resumed at another replica.
+//! be resumed at another replica. Comments and blank lines are kept until the event that follows
+//! them. A replica that sends nothing else, or an event without an end, exceeds the limit.
 
 use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
 
-/// Maximum length of an event; a longer one is passed on in parts.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// The replica sent too many bytes without completing an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{bytes} bytes without a complete event, more than {limit}"))]
+pub struct EventOverflow {
+    pub bytes: usize,
+    pub limit: usize,
+}
 
 /// Splitter of one stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
+    /// Maximum number of bytes without a complete event.
+    limit: usize,
     buffer: BytesMut,
+    /// Start of the first line of the buffer that has not ended.
+    line_start: usize,
+    /// A line of the current event, which is not a comment, has ended.
+    has_field: bool,
     /// Id of the newest complete event.
     newest_id: Option<u64>,
 }
 
 impl EventSplitter {
+    /// Splitter that accepts up to `limit` bytes without a complete event.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            buffer: BytesMut::new(),
+            line_start: 0,
+            has_field: false,
+            newest_id: None,
+        }
+    }
+
     /// Appends bytes and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        let searched = self.buffer.len().saturating_sub(3);
+    ///
+    /// # Errors
+    /// [`EventOverflow`] when there is no complete event within the limit.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventOverflow> {
+        let searched = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.buffer[searched..]).map(|end| searched + end);
-        let end = match end {
-            Some(end) => end,
-            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len(),
-            None => return None,
-        };
-        let whole = self.buffer.split_to(end).freeze();
-        if let Some(id) = newest_id(&whole) {
-            self.newest_id = Some(id);
+        if let Some(end) = self.find_last_event(searched) {
+            let whole = self.buffer.split_to(end).freeze();
+            self.line_start -= end;
+            self.newest_id = newest_id(&whole).or(self.newest_id);
+            return Ok(Some(whole));
+        }
+        let (bytes, limit) = (self.buffer.len(), self.limit);
+        if bytes > limit {
+            return Err(EventOverflow { bytes, limit });
         }
-        Some(whole)
+        Ok(None)
     }
 
     /// Bytes after the last complete event.
     pub fn finish(&mut self) -> Option<Bytes> {
         let buffer = std::mem::take(&mut self.buffer).freeze();
+        self.discard_partial();
         (!buffer.is_empty()).then_some(buffer)
     }
 
+    /// Whether an event has begun that is not complete.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        let unfinished = self.buffer.get(self.line_start);
+        self.has_field || unfinished.is_some_and(|first| !matches!(first, b':' | b'\r'))
+    }
+
     /// Drops the incomplete event that a broken stream has left.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.line_start = 0;
+        self.has_field = false;
     }
 
     /// Id of the newest event that was passed on.
@@ -50,15 +88,33 @@
     pub fn last_id(&self) -> Option<u64> {
         self.newest_id
     }
+
+    /// Reads the lines that end after `searched` bytes; returns the end of the last event.
+    fn find_last_event(&mut self, searched: usize) -> Option<usize> {
+        let mut end_of_event = None;
+        let mut search_from = searched;
+        while let Some(length) = find_line_end(&self.buffer[search_from..]) {
+            let line_end = search_from + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let next_line = line_end + 1;
+            match line.first() {
+                None if self.has_field => {
+                    self.has_field = false;
+                    end_of_event = Some(next_line);
+                }
+                None | Some(b':') => {}
+                Some(_) => self.has_field = true,
+            }
+            self.line_start = next_line;
+            search_from = next_line;
+        }
+        end_of_event
+    }
 }
 
-/// Position after the last empty line.
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    let dos = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let unix = unix.map(|position| position + 2);
-    let dos = dos.map(|position| position + 4);
-    unix.max(dos)
+fn find_line_end(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
 }
 
 /// Newest id among complete events.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -42,6 +42,7 @@
     REQUEST_ANSWERED = 307, "request_answered";
     STREAM_RESUMED = 308, "stream_resumed";
     REQUEST_ABANDONED = 309, "request_abandoned";
+    RESPONSE_OVER_LIMIT = 310, "response_over_limit";
     ADAPTER_LOADED = 401, "adapter_loaded";
     ADAPTER_EVICTED = 402, "adapter_evicted";
     ADAPTER_LOAD_FAILED = 403, "adapter_load_failed";
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -45,6 +45,7 @@
 pub fn run_gateway(path: &str) -> Result<process::ExitCode, RoleError> {
     let settings: gateway_settings::GatewaySettings =
         settings::read(path).context(SettingsSnafu)?;
+    reject_invalid(path, &settings.validate())?;
     let logger = logs::stdout_logger("gateway", &settings.instance, &settings.data_centre);
     runtime()?.block_on(async {
         let metrics = metrics::GatewayMetrics::new().context(MetricsSnafu)?;
