Wait for the load of a base model, and read replaced engines at once

Engines restart under new ids and without a model; 97 records of the old ids stay in the store. Until the gateways' next regular read, 2.6 s later, brokers refused 4,700 permits as replaced, three engines a request; brokers commanded the load with the old id, which the engine refused, and again 300 ms later; until the load ended, some 700 ms more, 7,000 permits were refused at once, and callers who return once returned to engines in the same state. 1,219 of 1,806 requests were refused in the first two seconds. 68 gateways wrote 10,775 records replica_listed within half a second.

Change: a request waits for the model if its load, whose usual time the configuration states, ends in time (decisions::model_load); otherwise it is told when the model is due. A load that fails or is overdue refuses at once. Brokers compare the id that entries know with the engine's reports: an older one gets no permit and is not commanded. Gateways read the replicas at once when a broker serves a newer incarnation, at most every 400 ms, spread by up to 200 ms; the same while records are missing after an outage. A replaced engine does not count as asked. Changes of replicas are logged as one record a kind with a count and at most 200 ids.

--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -13,6 +13,14 @@
     pub incarnation: u64,
 }
 
+impl EngineIdentity {
+    /// Whether it is known to be of an earlier incarnation. A record may lack the incarnation.
+    #[must_use]
+    pub fn is_older_than(&self, incarnation: u64) -> bool {
+        self.incarnation != 0 && self.incarnation < incarnation
+    }
+}
+
 /// Capacity of an engine, from the current configuration of the entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineCapacity {
@@ -35,6 +43,8 @@
     pub capacity: EngineCapacity,
     /// Base model.
     pub model: String,
+    /// Usual time in which an engine loads it, if known.
+    pub model_load_time: Option<time::Duration>,
 }
 
 /// Request for a permit to start a request at an engine.
@@ -71,6 +81,8 @@
     EngineUnreachable,
     /// The broker serves a newer incarnation of the engine.
     EngineReplaced,
+    /// The base model will be loaded too late.
+    ModelLate,
 }
 
 /// Decision on a request for a permit.
@@ -90,7 +102,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineView {
     pub incarnation: u64,
-    /// The base model is loaded.
+    /// The base model is loaded or expected; the backlog includes the wait for it.
     pub has_model: bool,
     /// Name and version of the loaded adapters.
     pub loaded: Vec<(String, u32)>,
@@ -134,6 +146,7 @@
             Self::AdapterLate => "adapter_late",
             Self::EngineUnreachable => "engine_unreachable",
             Self::EngineReplaced => "engine_replaced",
+            Self::ModelLate => "model_late",
         }
     }
 }
@@ -145,6 +158,7 @@
             permits::PermitRefusal::Slots => Self::AdapterSlots,
             permits::PermitRefusal::Late => Self::AdapterLate,
             permits::PermitRefusal::Engine => Self::EngineUnreachable,
+            permits::PermitRefusal::Model => Self::ModelLate,
         }
     }
 }
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -20,9 +20,17 @@
 /// A late command is rejected by the number of accepted commands that it expects.
 const FENCING_TOKEN: u64 = 1;
 
+/// Refusal of a request for an earlier incarnation of the engine.
+const ENGINE_REPLACED: message::PermitDecision = message::PermitDecision::Refused {
+    reason: message::RefusalReason::EngineReplaced,
+    retry_after: time::Duration::ZERO,
+};
+
 struct WaitingPermit {
     id: permits::PermitId,
-    outcome: oneshot::Sender<permits::PermitOutcome>,
+    /// Engine that the entry asked for.
+    engine: message::EngineIdentity,
+    decision: oneshot::Sender<message::PermitDecision>,
 }
 
 struct EngineState {
@@ -157,6 +165,7 @@
                 state.broker.engine_lost()
             }
         };
+        state.refuse_replaced(now);
         state.deliver_outcomes(outcomes, now);
     }
 
@@ -165,7 +174,7 @@
         let now = self.now();
         let (command, fenced) = {
             let mut state = self.state.lock();
-            if state.missed_reports > 0 {
+            if state.missed_reports > 0 || !state.knows_engine() {
                 return false;
             }
             let Some(command) = state.broker.next_command(now) else {
@@ -238,7 +247,8 @@
 
     /// Updates the engine from the entry's call; false if the call is for an earlier incarnation.
     fn update_spec(&self, state: &mut EngineState, engine: &message::EngineSpec) -> bool {
-        if engine.identity.incarnation < state.identity.incarnation {
+        let newest = state.identity.incarnation.max(state.broker.incarnation());
+        if engine.identity.is_older_than(newest) {
             return false;
         }
         if engine.identity != state.identity {
@@ -254,6 +264,7 @@
             state.model.clone_from(&engine.model);
             self.wake.notify_one();
         }
+        state.broker.set_model_load_time(engine.model_load_time);
         state.broker.set_limits(slot_broker::BrokerLimits {
             adapter_slots: usize::try_from(engine.capacity.adapter_slots).unwrap_or(0),
             parallel_loads: self.settings.parallel_loads,
@@ -274,10 +285,7 @@
             state.release(call.entry, &call.released, now);
             if !self.update_spec(&mut state, &call.engine) {
                 return message::PermitReply {
-                    decision: message::PermitDecision::Refused {
-                        reason: message::RefusalReason::EngineReplaced,
-                        retry_after: time::Duration::ZERO,
-                    },
+                    decision: ENGINE_REPLACED,
                     view: state.view(now),
                 };
             }
@@ -304,24 +312,43 @@
             let (sender, receiver) = oneshot::channel();
             state.waiting.push(WaitingPermit {
                 id,
-                outcome: sender,
+                engine: call.engine.identity,
+                decision: sender,
             });
             receiver
         };
         self.wake.notify_one();
-        let outcome = waiting.await.unwrap_or(permits::PermitOutcome::Refused {
-            reason: permits::PermitRefusal::Engine,
+        let decision = waiting.await.unwrap_or(message::PermitDecision::Refused {
+            reason: message::RefusalReason::EngineUnreachable,
             retry_after: time::Duration::ZERO,
         });
         let view = self.state.lock().view(self.now());
-        message::PermitReply {
-            decision: outcome.into(),
-            view,
-        }
+        message::PermitReply { decision, view }
     }
 }
 
 impl EngineState {
+    /// Whether the entries' newest identity of the engine is that of its reports. Another engine
+    /// would refuse the commands.
+    fn knows_engine(&self) -> bool {
+        !self.identity.is_older_than(self.broker.incarnation())
+    }
+
+    /// Refuses the calls that wait for an engine which has restarted since.
+    fn refuse_replaced(&mut self, now: units::Timestamp) {
+        let incarnation = self.broker.incarnation();
+        let (replaced, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|permit| permit.engine.is_older_than(incarnation));
+        self.waiting = waiting;
+        let replaced: Vec<WaitingPermit> = replaced;
+        for permit in replaced {
+            self.broker.release(permit.id, now);
+            // The call may have been cancelled.
+            let _ = permit.decision.send(ENGINE_REPLACED);
+        }
+    }
+
     /// Sends outcomes to waiting calls; releases the permit of a call that was cancelled.
     fn deliver_outcomes(
         &mut self,
@@ -333,7 +360,7 @@
                 continue;
             };
             let permit = self.waiting.swap_remove(position);
-            if permit.outcome.send(outcome).is_err() {
+            if permit.decision.send(outcome.into()).is_err() {
                 self.broker.release(id, now);
             }
         }
@@ -353,8 +380,8 @@
         let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
         let loaded = self.broker.loaded();
         message::EngineView {
-            incarnation: self.identity.incarnation,
-            has_model: self.broker.has_model(),
+            incarnation: self.identity.incarnation.max(self.broker.incarnation()),
+            has_model: self.broker.expects_model(now),
             loaded: loaded
                 .map(|content| (content.name.clone(), content.version))
                 .collect(),
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -20,6 +20,7 @@
             batch_slots: 8,
         },
         model: "base".to_owned(),
+        model_load_time: None,
     }
 }
 
--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -63,6 +63,7 @@
                 batch_slots: 8,
             },
             model: "base".to_owned(),
+            model_load_time: None,
         },
         request: format!("request-{number}"),
         adapter: Some(message::AdapterRequirement {
--- /dev/null
+++ b/crates/broker/tests/replaced_engine.rs
@@ -0,0 +1,130 @@
+//! Broker of an engine that has restarted, called by entries that do not know it yet.
+
+use std::{
+    sync::{Arc, Mutex},
+    time,
+};
+
+use broker::{engine, message, metrics, server, service::BrokerHandler, settings};
+use decisions::engine_status;
+use futures::future::BoxFuture;
+use telemetry::logs;
+
+const OLD: u64 = 1_000;
+const NEW: u64 = 2_000;
+
+/// Restarted engine without a model that records the ids in its commands.
+#[derive(Clone, Default)]
+struct RestartedEngine {
+    commanded: Arc<Mutex<Vec<String>>>,
+}
+
+impl engine::EngineControl for RestartedEngine {
+    fn fetch_report(
+        &self,
+        _model: &str,
+    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
+        let status = engine_status::EngineStatus {
+            incarnation: NEW,
+            model: engine_status::ModelState::Empty,
+            ..engine_status::EngineStatus::default()
+        };
+        Box::pin(async move {
+            Ok(engine::EngineReport {
+                status,
+                sequence: 0,
+            })
+        })
+    }
+
+    fn send_command(
+        &self,
+        command: engine::FencedCommand,
+    ) -> BoxFuture<'_, Result<engine::CommandReply, engine::EngineError>> {
+        self.commanded.lock().unwrap().push(command.engine);
+        Box::pin(async { Ok(engine::CommandReply::Accepted) })
+    }
+}
+
+fn call(number: u64, id: &str, incarnation: u64) -> message::PermitCall {
+    message::PermitCall {
+        entry: 1,
+        number,
+        engine: message::EngineSpec {
+            identity: message::EngineIdentity {
+                id: id.to_owned(),
+                incarnation,
+            },
+            capacity: message::EngineCapacity {
+                adapter_slots: 4,
+                batch_slots: 8,
+            },
+            model: "base".to_owned(),
+            model_load_time: Some(time::Duration::from_millis(700)),
+        },
+        request: format!("request-{number}"),
+        adapter: None,
+        priority: 1,
+        prompt_tokens: 100,
+        output_tokens: 10,
+        objective: time::Duration::from_secs(1),
+        start_deadline: time::Duration::from_secs(4),
+        deadline: time::Duration::from_secs(4),
+        released: Vec::new(),
+    }
+}
+
+fn start(engine: &RestartedEngine) -> Arc<server::EngineBroker> {
+    let settings = settings::BrokerSettings {
+        instance: "side-0".to_owned(),
+        data_centre: "north".to_owned(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        engine: None,
+        metrics: None,
+        unstarted: 1,
+        parallel_loads: 1,
+    };
+    let metrics = metrics::BrokerMetrics::new().unwrap();
+    let logger = logs::discard_logger();
+    let broker = server::EngineBroker::new(settings, Box::new(engine.clone()), logger, metrics);
+    let broker = Arc::new(broker);
+    let served = Arc::clone(&broker);
+    tokio::spawn(async move { served.run().await });
+    broker
+}
+
+fn is_replaced(reply: &message::PermitReply) -> bool {
+    let message::PermitDecision::Refused { reason, .. } = reply.decision else {
+        return false;
+    };
+    reason == message::RefusalReason::EngineReplaced && reply.view.incarnation == NEW
+}
+
+// Guards against permits for an id that the engine no longer has, and against commands that it
+// refuses, which delay the load of its model.
+#[tokio::test(start_paused = true)]
+async fn former_id_gets_no_permit_and_no_command() {
+    let engine = RestartedEngine::default();
+    let broker = start(&engine);
+    for number in 1..4 {
+        let asked = tokio::time::Instant::now();
+        let reply = broker.request_permit(call(number, "former", OLD)).await;
+        assert!(is_replaced(&reply), "{reply:?}");
+        // The first call waits for the engine's first report.
+        assert!(asked.elapsed() < time::Duration::from_millis(100));
+    }
+    assert_eq!(engine.commanded.lock().unwrap().len(), 0);
+}
+
+// Guards against a load of the model that waits for a backoff once the engine's id is known.
+#[tokio::test(start_paused = true)]
+async fn present_id_is_commanded_at_once() {
+    let engine = RestartedEngine::default();
+    let broker = start(&engine);
+    broker.request_permit(call(1, "former", OLD)).await;
+    let waiting = Arc::clone(&broker);
+    let task = tokio::spawn(async move { waiting.request_permit(call(2, "present", NEW)).await });
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert_eq!(*engine.commanded.lock().unwrap(), ["present"]);
+    task.abort();
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod load_queue;
 pub mod load_times;
 pub mod membership;
+pub mod model_load;
 pub mod permit_table;
 pub mod permits;
 pub mod queueing;
--- a/crates/decisions/src/permits.rs
+++ b/crates/decisions/src/permits.rs
@@ -53,6 +53,8 @@
     Late,
     /// The engine restarted or cannot be reached.
     Engine,
+    /// The base model will be loaded too late.
+    Model,
 }
 
 /// Outcome of a request for a permit.
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -17,12 +17,11 @@
 use std::time;
 
 use crate::{
-    active_entries, adapter_slots, engine_latency, engine_status, permit_table, permits, units,
+    active_entries, adapter_slots, engine_latency, engine_status, model_load, permit_table,
+    permits, units,
 };
 
-/// Time after which the command to load an unreported model is repeated.
-const MODEL_LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-/// Retry-after of refusals while the engine has no model.
+/// Retry-after of refusals while the engine has no model and none is expected.
 const MODEL_RETRY_AFTER: time::Duration = time::Duration::from_millis(600);
 /// Time to load an adapter once a slot is free.
 const LOAD_TIME: time::Duration = time::Duration::from_millis(300);
@@ -39,7 +38,7 @@
     pub unstarted: u32,
 }
 
-/// Refusal while an engine has no model.
+/// Refusal while an engine has no model and none is expected.
 const NO_MODEL: permits::PermitOutcome =
     permits::PermitOutcome::refused(permits::PermitRefusal::Engine, MODEL_RETRY_AFTER);
 
@@ -54,11 +53,7 @@
     incarnation: u64,
     /// The engine has reported since this broker started.
     has_reported: bool,
-    has_model: bool,
-    /// The engine has no model and executes no command, so that the model may be loaded.
-    can_load_model: bool,
-    /// Earliest time of the next command to load the model.
-    model_retry_at: units::Timestamp,
+    model: model_load::ModelLoad,
     slots: adapter_slots::AdapterSlots,
     waiting: Vec<permits::PermitRequest>,
     permits: permit_table::PermitTable,
@@ -74,9 +69,7 @@
             limits,
             incarnation: 0,
             has_reported: false,
-            has_model: false,
-            can_load_model: false,
-            model_retry_at: units::Timestamp::default(),
+            model: model_load::ModelLoad::default(),
             slots: adapter_slots::AdapterSlots::default(),
             waiting: Vec::new(),
             permits: permit_table::PermitTable::default(),
@@ -90,6 +83,17 @@
         self.limits = limits;
     }
 
+    /// Sets the usual time in which the engine loads its base model.
+    pub fn set_model_load_time(&mut self, load_time: Option<time::Duration>) {
+        self.model.set_load_time(load_time);
+    }
+
+    /// Incarnation of the engine in its newest report; 0 before the first one.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Records a call of an entry, which proves that it is alive.
     pub fn entry_seen(&mut self, entry: u64, now: units::Timestamp) {
         self.entries.record_call(entry, now);
@@ -106,11 +110,15 @@
             self.waiting.push(request);
             return None;
         }
-        if !self.has_model {
+        let Some(model_wait) = self.model.wait(now) else {
             return Some(NO_MODEL);
-        }
-        let ahead = self.wait_ahead(&request, now);
+        };
+        let ahead = model_wait + self.wait_ahead(&request, now);
         if now + ahead >= self.latest_start(&request) {
+            if !model_wait.is_zero() {
+                let reason = permits::PermitRefusal::Model;
+                return Some(permits::PermitOutcome::refused(reason, ahead));
+            }
             return Some(permits::PermitOutcome::refused(
                 permits::PermitRefusal::Backlog,
                 ahead / 2,
@@ -153,8 +161,7 @@
             self.restart(report.incarnation);
         }
         self.has_reported = true;
-        self.has_model = report.model == engine_status::ModelState::Loaded;
-        self.can_load_model = report.model == engine_status::ModelState::Empty && !report.is_busy;
+        self.model.observe(report, now);
         let progress = self.permits.observe(report, now);
         self.latency.observe(report, progress.prefilled_tokens, now);
         for permit in &progress.ended {
@@ -175,7 +182,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|request| self.sort_key(request, now));
         for request in waiting {
-            if self.has_reported && !self.has_model {
+            if self.has_reported && self.model.wait(now).is_none() {
                 outcomes.push((request.id, NO_MODEL));
             } else if self.is_startable(&request) && self.can_start_prompt() {
                 outcomes.push((request.id, self.grant(&request, now)));
@@ -203,8 +210,9 @@
 
     /// Next command to the engine, if one is due. An unload frees the slot for a later load.
     pub fn next_command(&mut self, now: units::Timestamp) -> Option<engine_status::EngineCommand> {
-        if !self.has_model {
-            return self.model_command(now);
+        if !self.model.is_loaded() {
+            let is_due = self.model.is_command_due(now);
+            return is_due.then_some(engine_status::EngineCommand::LoadModel);
         }
         if self.slots.loads() >= self.limits.parallel_loads {
             return None;
@@ -226,7 +234,13 @@
     /// Whether the engine holds the base model.
     #[must_use]
     pub fn has_model(&self) -> bool {
-        self.has_model
+        self.model.is_loaded()
+    }
+
+    /// Whether the engine holds the base model or is expected to hold it soon.
+    #[must_use]
+    pub fn expects_model(&self, now: units::Timestamp) -> bool {
+        self.model.wait(now).is_some()
     }
 
     /// Records that the engine refused a command, or that its response was lost.
@@ -236,9 +250,7 @@
         now: units::Timestamp,
     ) {
         match command {
-            engine_status::EngineCommand::LoadModel => {
-                self.model_retry_at = now + adapter_slots::LOAD_BACKOFF;
-            }
+            engine_status::EngineCommand::LoadModel => self.model.command_failed(now),
             engine_status::EngineCommand::Load { name, .. } => self.slots.load_failed(name, now),
             engine_status::EngineCommand::Unload { .. } => {}
         }
@@ -256,7 +268,8 @@
             .waiting
             .iter()
             .filter(|request| !self.is_late(request, now));
-        self.prefill_time_behind(on_time)
+        let model_wait = self.model.wait(now).unwrap_or_default();
+        model_wait + self.prefill_time_behind(on_time)
     }
 
     /// Prefill time of one prompt token.
@@ -327,18 +340,10 @@
     /// Whether a load or a request is in progress or waiting.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        let is_loading = !self.has_model || self.slots.loads() > 0;
+        let is_loading = !self.model.is_loaded() || self.slots.loads() > 0;
         is_loading || !self.waiting.is_empty() || !self.permits.is_empty()
     }
 
-    fn model_command(&mut self, now: units::Timestamp) -> Option<engine_status::EngineCommand> {
-        if now < self.model_retry_at || !self.can_load_model {
-            return None;
-        }
-        self.model_retry_at = now + MODEL_LOAD_TIMEOUT;
-        Some(engine_status::EngineCommand::LoadModel)
-    }
-
     /// Grants a permit if the engine can start a prompt and no startable request waits.
     fn grant_or_wait(
         &mut self,
@@ -417,7 +422,7 @@
     /// Whether the adapter of a request is loaded.
     fn is_startable(&self, request: &permits::PermitRequest) -> bool {
         let required = request.adapter.as_ref();
-        self.has_reported && required.is_none_or(|required| self.slots.is_usable(required))
+        self.model.is_loaded() && required.is_none_or(|required| self.slots.is_usable(required))
     }
 
     /// Refusal of a request that can no longer wait.
@@ -434,7 +439,7 @@
             (permits::PermitRefusal::Backlog, self.backlog(now))
         } else if is_over {
             (permits::PermitRefusal::Late, adapter_slots::LOAD_BACKOFF)
-        } else if has_no_slot && now >= request.objective {
+        } else if has_no_slot && now >= request.objective && !self.model.is_catching_up(now) {
             (permits::PermitRefusal::Slots, adapter_slots::LOAD_BACKOFF)
         } else {
             return None;
@@ -524,9 +529,7 @@
 
     fn restart(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
-        self.has_model = false;
-        self.can_load_model = false;
-        self.model_retry_at = units::Timestamp::default();
+        self.model.restart();
         self.slots.clear();
         self.permits = permit_table::PermitTable::default();
         self.latency = engine_latency::EngineLatency::default();
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -78,7 +78,24 @@
     pub slots: u32,
     pub adapter_slots: u32,
     /// Base models, in the order of the configuration.
-    pub models: Vec<String>,
+    pub models: Vec<BaseModel>,
+}
+
+impl EngineLimits {
+    /// Usual time in which an engine loads a base model, if known.
+    #[must_use]
+    pub fn model_load_time(&self, name: &str) -> Option<time::Duration> {
+        let model = self.models.iter().find(|model| model.name == name)?;
+        model.load_time
+    }
+}
+
+/// Base model of a service's engines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BaseModel {
+    pub name: String,
+    /// Usual time of a load, if the configuration states it.
+    pub load_time: Option<time::Duration>,
 }
 
 /// Service of the configuration.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,13 +5,14 @@
 
 use std::{sync::Arc, time};
 
+use broker::message;
 use bytes::Bytes;
 use decisions::{response_length, retry_budget, units};
 use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     attempts, buffers, catalog, connections, local_reply, metrics, placement, plan, protocol,
@@ -41,6 +42,8 @@
     pub buffers: Arc<buffers::BufferBudget>,
     pub request_logger: request_logger::RequestLogger,
     pub metrics: metrics::GatewayMetrics,
+    /// Signals that replies contradict the known replicas.
+    replicas_outdated: Notify,
     /// Number of the newest permit.
     pub newest_permit: Mutex<u64>,
     started: Instant,
@@ -113,6 +116,7 @@
             pool: connections::ConnectionPool::default(),
             request_logger: request_logger::RequestLogger::new(logger),
             metrics,
+            replicas_outdated: Notify::new(),
             newest_permit: Mutex::new(0),
             started: Instant::now(),
         }
@@ -125,6 +129,24 @@
         units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Records the state of an engine, as its broker reports it.
+    pub fn record_view(&self, replica: &str, view: message::EngineView) {
+        let is_current = self.replicas.lock().record_view(replica, view, self.now());
+        if !is_current {
+            self.request_replica_read();
+        }
+    }
+
+    /// Asks for a read of the replicas before the next regular one.
+    pub fn request_replica_read(&self) {
+        self.replicas_outdated.notify_one();
+    }
+
+    /// Waits until a read of the replicas is asked for.
+    pub async fn replica_read_requested(&self) {
+        self.replicas_outdated.notified().await;
+    }
+
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -23,6 +23,15 @@
 const OUTAGE_THRESHOLD: time::Duration = time::Duration::from_millis(1500);
 /// Maximum interval between two reads of replicas.
 const MAX_REPLICA_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Minimum interval between two reads of replicas, for reads that are asked for because replies
+/// contradict the known replicas or because records are missing after an outage.
+const MIN_REPLICA_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Each gateway adds up to this many milliseconds to the minimum interval, because all gateways see
+/// the same contradictions at the same time.
+const INTERVAL_SPREAD_MS: u64 = 200;
+
+/// Maximum number of replicas that one log record names.
+const MAX_LOGGED_IDS: usize = 200;
 
 /// Consecutive failed reads of one topic.
 struct StoreOutage {
@@ -152,7 +161,7 @@
                     changes
                 };
                 log_changes(&dispatcher, &changes);
-                tokio::time::sleep(interval).await;
+                wait_for_next_read(&dispatcher, interval).await;
             }
             Err(store::StoreError::Deleted) => from = None,
             Err(error) => outage.record_failure(&error, logger).await,
@@ -160,19 +169,55 @@
     }
 }
 
+/// Waits for the regular interval, or for a shorter one if a read is asked for.
+async fn wait_for_next_read(dispatcher: &dispatch::Dispatcher, interval: time::Duration) {
+    let spread = time::Duration::from_millis(dispatcher.incarnation % INTERVAL_SPREAD_MS);
+    let shortest = interval.min(MIN_REPLICA_INTERVAL + spread);
+    tokio::time::sleep(shortest).await;
+    if dispatcher.replicas.lock().has_missing() {
+        return;
+    }
+    let rest = interval.saturating_sub(shortest);
+    // A timeout is the regular case.
+    let _ = tokio::time::timeout(rest, dispatcher.replica_read_requested()).await;
+}
+
+/// Logs the changes of one read, with one record for each kind of change.
 fn log_changes(dispatcher: &dispatch::Dispatcher, changes: &[replica_table::ReplicaTableChange]) {
-    let logger = dispatcher.request_logger.logger();
     for change in changes {
-        let (event, id) = match change {
-            replica_table::ReplicaTableChange::Listed { id, .. } => (events::REPLICA_LISTED, id),
-            replica_table::ReplicaTableChange::Draining { id } => (events::ENDPOINT_LEAVING, id),
-            replica_table::ReplicaTableChange::Removed { id, address } => {
-                dispatcher.pool.remove_idle(*address);
-                (events::REPLICA_GONE, id)
-            }
-            replica_table::ReplicaTableChange::Unreadable { id } => (events::RECORD_UNREADABLE, id),
-        };
-        slog::info!(logger, "replica changed"; "event" => event.number, "name" => event.name,
-            "replica" => id);
+        if let replica_table::ReplicaTableChange::Removed { address, .. } = change {
+            dispatcher.pool.remove_idle(*address);
+        }
+    }
+    let logger = dispatcher.request_logger.logger();
+    for event in CHANGE_EVENTS {
+        let ids: Vec<&str> = changes
+            .iter()
+            .filter(|change| change_event(change) == event)
+            .map(replica_table::ReplicaTableChange::id)
+            .collect();
+        if ids.is_empty() {
+            continue;
+        }
+        let listed = &ids[..ids.len().min(MAX_LOGGED_IDS)];
+        slog::info!(logger, "replicas changed"; "event" => event.number, "name" => event.name,
+            "count" => ids.len(), "replicas" => listed.join(" "));
+    }
+}
+
+/// Events of changes of replicas.
+const CHANGE_EVENTS: [events::LogEvent; 4] = [
+    events::REPLICA_LISTED,
+    events::ENDPOINT_LEAVING,
+    events::REPLICA_GONE,
+    events::RECORD_UNREADABLE,
+];
+
+fn change_event(change: &replica_table::ReplicaTableChange) -> events::LogEvent {
+    match change {
+        replica_table::ReplicaTableChange::Listed { .. } => events::REPLICA_LISTED,
+        replica_table::ReplicaTableChange::Draining { .. } => events::ENDPOINT_LEAVING,
+        replica_table::ReplicaTableChange::Removed { .. } => events::REPLICA_GONE,
+        replica_table::ReplicaTableChange::Unreadable { .. } => events::RECORD_UNREADABLE,
     }
 }
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -48,8 +48,7 @@
                             "event" => events::BROKER_REGAINED.number,
                             "name" => events::BROKER_REGAINED.name, "replica" => &id);
                     }
-                    let now = dispatcher.now();
-                    dispatcher.replicas.lock().record_view(&id, view, now);
+                    dispatcher.record_view(&id, view);
                 }
                 (Err(error), Err(position)) => {
                     slog::warn!(logger, "{error}"; "event" => events::BROKER_LOST.number,
@@ -75,11 +74,7 @@
                 let entry = dispatcher.incarnation;
                 // A failure is reported by the next heartbeat, which sends the same releases.
                 if let Ok(view) = replica.broker.heartbeat(entry, spec, now).await {
-                    let now = dispatcher.now();
-                    dispatcher
-                        .replicas
-                        .lock()
-                        .record_view(&replica.id, view, now);
+                    dispatcher.record_view(&replica.id, view);
                 }
             }
         });
@@ -106,7 +101,7 @@
             continue;
         };
         for replica in replicas.service_replicas(&service.name, &is_selected, now) {
-            let spec = replica::engine_spec(&replica, engine, model.clone());
+            let spec = replica::engine_spec(&replica, engine, &model.name);
             engines.push((replica, spec));
         }
     }
--- a/crates/gateway/src/local_reply.rs
+++ b/crates/gateway/src/local_reply.rs
@@ -15,6 +15,8 @@
 
 /// Retry delay while there is no configuration or replica.
 const STARTUP_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
+/// Retry delay until the replicas have been read again.
+const REPLICA_READ_DELAY: time::Duration = time::Duration::from_millis(600);
 /// Retry delay while buffered responses use almost all memory.
 const BUFFER_RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 /// Bounds of the retry delay that a caller is sent.
@@ -26,6 +28,8 @@
     pub const NO_REPLICA: Self = Self::not_run("no_replica", STARTUP_RETRY_DELAY);
     /// The buffered responses use almost all memory that is meant for them.
     pub const BUFFERS_FULL: Self = Self::not_run("buffers_full", BUFFER_RETRY_DELAY);
+    /// All engines that were asked have restarted under other ids.
+    pub const ENGINE_REPLACED: Self = Self::not_run("engine_replaced", REPLICA_READ_DELAY);
     pub const NO_ROUTE: Self = Self::refused(404, "no_route");
     pub const BAD_REQUEST: Self = Self::refused(400, "bad_request");
     pub const BODY_TOO_LARGE: Self = Self::refused(413, "body_too_large");
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,9 @@
 const FIRST_EVENT_LATENCY: time::Duration = time::Duration::from_millis(60);
 /// Maximum number of engines asked for a permit.
 const MAX_PERMIT_REQUESTS: usize = 3;
+/// Maximum number of engines found to be replaced, which are asked in addition. After an outage many
+/// records are out of date at once.
+const MAX_REPLACED_ENGINES: usize = 5;
 
 /// Permit that is requested or held, and released when dropped. It is created before it is
 /// requested, because the caller may disconnect before the broker's reply arrives.
@@ -33,6 +36,15 @@
     pub version: Option<u32>,
 }
 
+/// Reason why an engine's broker granted no permit.
+enum PermitFailure {
+    /// The broker did not reply, or the engine is draining.
+    Unavailable,
+    /// The engine has restarted under another id.
+    Replaced,
+    Refused(local_reply::LocalReply),
+}
+
 impl dispatch::Dispatcher {
     /// Chooses a replica and, if it is an engine, gets a permit.
     ///
@@ -57,14 +69,25 @@
         };
         let mut excluded = history.excluded().to_vec();
         let mut refusal = local_reply::LocalReply::NO_REPLICA;
-        for _ in 0..MAX_PERMIT_REQUESTS {
+        let (mut asked_count, mut replaced_count) = (0, 0);
+        while asked_count < MAX_PERMIT_REQUESTS && replaced_count < MAX_REPLACED_ENGINES {
             let now = self.now();
             let chosen = self.replicas.lock().choose_engine(plan, &excluded, now);
             let Some(replica) = chosen else { break };
             excluded.push(replica.id.clone());
             match self.request_permit(plan, engine, replica).await {
                 Ok(placed) => return Ok(placed),
-                Err(reply) => refusal = reply.unwrap_or(refusal),
+                Err(PermitFailure::Replaced) => {
+                    replaced_count += 1;
+                    if refusal == local_reply::LocalReply::NO_REPLICA {
+                        refusal = local_reply::LocalReply::ENGINE_REPLACED;
+                    }
+                }
+                Err(PermitFailure::Unavailable) => asked_count += 1,
+                Err(PermitFailure::Refused(reply)) => {
+                    asked_count += 1;
+                    refusal = reply;
+                }
             }
             if !plan.has_time_left() {
                 break;
@@ -73,13 +96,13 @@
         Err(dispatch::AttemptError::Refused(refusal))
     }
 
-    /// Requests a permit from an engine's broker; fails with the local reply to a refusal.
+    /// Requests a permit from an engine's broker.
     async fn request_permit(
         &self,
         plan: &plan::RequestPlan,
         engine: &catalog::EngineLimits,
         replica: replica::ChosenReplica,
-    ) -> Result<AssignedReplica, Option<local_reply::LocalReply>> {
+    ) -> Result<AssignedReplica, PermitFailure> {
         let permit = BrokerPermit {
             broker: Arc::clone(&replica.broker),
             number: self.next_permit(),
@@ -105,13 +128,13 @@
                 let reason = error.to_string();
                 self.request_logger
                     .log_failed_attempt(plan, &replica.id, &reason, true);
-                return Err(None);
+                return Err(PermitFailure::Unavailable);
             }
         };
         self.metrics.record_permit_wait(asked.elapsed());
+        self.record_view(&replica.id, reply.view);
         let now = self.now();
         let mut replicas = self.replicas.lock();
-        replicas.record_view(&replica.id, reply.view, now);
         match reply.decision {
             message::PermitDecision::Granted { version }
                 if replicas.accepts_requests(&replica.id, now) =>
@@ -126,22 +149,22 @@
             message::PermitDecision::Granted { .. } => {
                 self.request_logger
                     .log_failed_attempt(plan, &replica.id, "leaving", true);
-                Err(None)
+                Err(PermitFailure::Unavailable)
             }
             message::PermitDecision::Refused {
                 reason,
                 retry_after,
             } => {
-                if reason == message::RefusalReason::EngineReplaced {
-                    replicas.mark_unavailable(&replica.id, now);
-                }
                 let label = reason.label();
                 self.request_logger
                     .log_failed_attempt(plan, &replica.id, label, true);
-                Err(Some(local_reply::LocalReply::no_permit(
-                    reason,
-                    retry_after,
-                )))
+                if reason == message::RefusalReason::EngineReplaced {
+                    replicas.mark_unavailable(&replica.id, now);
+                    self.request_replica_read();
+                    return Err(PermitFailure::Replaced);
+                }
+                let reply = local_reply::LocalReply::no_permit(reason, retry_after);
+                Err(PermitFailure::Refused(reply))
             }
         }
     }
@@ -158,7 +181,7 @@
         message::PermitCall {
             entry: self.incarnation,
             number,
-            engine: replica::engine_spec(replica, engine, generation.model),
+            engine: replica::engine_spec(replica, engine, &generation.model),
             adapter: generation.adapter.map(|name| message::AdapterRequirement {
                 name,
                 version: plan.adapter_version,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -166,8 +166,18 @@
     pub fn fresh_view(&self, now: units::Timestamp) -> Option<&message::EngineView> {
         let known = self.view.as_ref()?;
         let is_fresh = now.since(known.received_at) < MAX_VIEW_AGE;
+        let incarnation = self.record.incarnation;
         // A broker that no entry has called yet does not know its engine.
-        (is_fresh && known.view.incarnation == self.record.incarnation).then_some(&known.view)
+        let is_current = incarnation == 0 || known.view.incarnation == incarnation;
+        (is_fresh && is_current).then_some(&known.view)
+    }
+
+    /// Whether its broker serves a newer incarnation than that of its record.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        let incarnation = self.record.incarnation;
+        let view = self.view.as_ref().map(|known| &known.view);
+        incarnation != 0 && view.is_some_and(|view| view.incarnation > incarnation)
     }
 
     /// Whether it can load an adapter.
@@ -298,8 +308,9 @@
 pub fn engine_spec(
     replica: &ChosenReplica,
     engine: &catalog::EngineLimits,
-    model: String,
+    model: &str,
 ) -> message::EngineSpec {
+    let model = replica.model.as_deref().unwrap_or(model);
     message::EngineSpec {
         identity: message::EngineIdentity {
             id: replica.id.clone(),
@@ -309,6 +320,7 @@
             adapter_slots: engine.adapter_slots,
             batch_slots: engine.slots,
         },
-        model: replica.model.clone().unwrap_or(model),
+        model: model.to_owned(),
+        model_load_time: engine.model_load_time(model),
     }
 }
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -35,6 +35,19 @@
     },
 }
 
+impl ReplicaTableChange {
+    /// Id of the replica.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Listed { id, .. }
+            | Self::Draining { id }
+            | Self::Removed { id, .. }
+            | Self::Unreadable { id } => id,
+        }
+    }
+}
+
 /// Table of replicas, sorted by id.
 pub struct ReplicaTable {
     data_centre: String,
@@ -228,11 +241,30 @@
         }
     }
 
-    /// Records the engine state reported by a broker.
-    pub fn record_view(&mut self, id: &str, view: message::EngineView, now: units::Timestamp) {
-        if let Some(replica) = self.find_mut(id) {
-            replica.record_view(view, now);
+    /// Records the engine state reported by a broker; false if the engine has been replaced, so that
+    /// its record is out of date.
+    pub fn record_view(
+        &mut self,
+        id: &str,
+        view: message::EngineView,
+        now: units::Timestamp,
+    ) -> bool {
+        let Some(replica) = self.find_mut(id) else {
+            return true;
+        };
+        replica.record_view(view, now);
+        if !replica.is_replaced() {
+            return true;
         }
+        replica.unreachable_until = now + UNREACHABLE_PERIOD;
+        false
+    }
+
+    /// Whether replicas are kept although their records are missing.
+    #[must_use]
+    pub fn has_missing(&self) -> bool {
+        let mut replicas = self.replicas.iter();
+        replicas.any(|replica| replica.missing_until.is_some())
     }
 
     fn upsert(&mut self, offset: u64, record: store::ReplicaRecord) -> Option<ReplicaTableChange> {
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -54,6 +54,10 @@
                 ))
             }
             protocol::ResponseClass::Misdirected => {
+                // An engine also refuses a version of an adapter that it does not hold.
+                if plan.engine.is_none() {
+                    self.request_replica_read();
+                }
                 self.drain_body(open).await;
                 Err(failure(attempts::ExecutionStatus::NotRun, "misdirected"))
             }
