Poll the store as long as the time for a change allows

The state of an engine in its broker and the expected waits of a slot broker have modules of their own.

--- /dev/null
+++ b/crates/broker/src/engine_state.rs
@@ -0,0 +1,124 @@
+//! State of one engine in its broker, with the calls that wait for a permit.
+
+use std::time;
+
+use decisions::{permits, slot_broker, units};
+use tokio::sync::oneshot;
+
+use crate::message;
+
+/// Refusal of a request for an earlier incarnation of the engine.
+pub const ENGINE_REPLACED: message::PermitDecision = message::PermitDecision::Refused {
+    reason: message::RefusalReason::EngineReplaced,
+    retry_after: time::Duration::ZERO,
+};
+
+/// Call that waits for a permit.
+pub struct WaitingPermit {
+    pub id: permits::PermitId,
+    /// Engine that the entry asked for.
+    pub engine: message::EngineIdentity,
+    pub decision: oneshot::Sender<message::PermitDecision>,
+}
+
+/// State of one engine and of the calls for it.
+pub struct EngineState {
+    pub broker: slot_broker::SlotBroker,
+    pub waiting: Vec<WaitingPermit>,
+    /// Newest identity that an entry has named.
+    pub identity: message::EngineIdentity,
+    pub model: String,
+    /// Accepted commands, from the newest report.
+    pub sequence: u64,
+    /// Consecutive reports that the engine has not sent.
+    pub missed_reports: u32,
+}
+
+impl EngineState {
+    /// State of an engine that no entry has named yet.
+    #[must_use]
+    pub fn new(limits: slot_broker::BrokerLimits) -> Self {
+        Self {
+            broker: slot_broker::SlotBroker::new(limits),
+            waiting: Vec::new(),
+            identity: message::EngineIdentity {
+                id: String::new(),
+                incarnation: 0,
+            },
+            model: String::new(),
+            sequence: 0,
+            missed_reports: 0,
+        }
+    }
+
+    /// Whether the entries' newest identity of the engine is that of its reports. Another engine
+    /// would refuse the commands.
+    #[must_use]
+    pub fn knows_engine(&self) -> bool {
+        !self.identity.is_older_than(self.broker.incarnation())
+    }
+
+    /// Refuses the calls that wait for an engine which has restarted since.
+    pub fn refuse_replaced(&mut self, now: units::Timestamp) {
+        let incarnation = self.broker.incarnation();
+        let (replaced, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|permit| permit.engine.is_older_than(incarnation));
+        self.waiting = waiting;
+        let replaced: Vec<WaitingPermit> = replaced;
+        for permit in replaced {
+            self.broker.release(permit.id, now);
+            // The call may have been cancelled.
+            let _ = permit.decision.send(ENGINE_REPLACED);
+        }
+    }
+
+    /// Sends outcomes to waiting calls; releases the permit of a call that was cancelled.
+    pub fn deliver_outcomes(
+        &mut self,
+        outcomes: Vec<(permits::PermitId, permits::PermitOutcome)>,
+        now: units::Timestamp,
+    ) {
+        for (id, outcome) in outcomes {
+            let Some(position) = self.waiting.iter().position(|permit| permit.id == id) else {
+                continue;
+            };
+            let permit = self.waiting.swap_remove(position);
+            if permit.decision.send(outcome.into()).is_err() {
+                self.broker.release(id, now);
+            }
+        }
+    }
+
+    /// Releases the permits of an entry.
+    pub fn release(&mut self, entry: u64, numbers: &[u64], now: units::Timestamp) {
+        for number in numbers {
+            let id = permits::PermitId {
+                entry,
+                number: *number,
+            };
+            self.broker.release(id, now);
+        }
+    }
+
+    /// State of the engine for the entries.
+    #[must_use]
+    pub fn view(&self, now: units::Timestamp) -> message::EngineView {
+        let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
+        let loaded = self.broker.loaded();
+        message::EngineView {
+            incarnation: self.identity.incarnation.max(self.broker.incarnation()),
+            has_model: self.broker.expects_model(now),
+            loaded: loaded
+                .map(|content| (content.name.clone(), content.version))
+                .collect(),
+            loading: self.broker.loading(),
+            recent: self.broker.recent().map(str::to_owned).collect(),
+            slot_wait: self.broker.slot_wait(),
+            backlog: self.broker.backlog(now),
+            prefill_token_time: self.broker.prefill_token_time(),
+            running: count(self.broker.running()),
+            entries: count(self.broker.entries(now)),
+        }
+    }
+}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod engine_state;
 pub mod message;
 pub mod metrics;
 pub mod server;
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -8,7 +8,7 @@
 use telemetry::{events, exposition, logs};
 use tokio::sync::{Notify, oneshot};
 
-use crate::{engine, message, metrics, service, settings};
+use crate::{engine, engine_state, message, metrics, service, settings};
 
 /// Interval of status reports while a load is pending.
 const LOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -20,34 +20,11 @@
 /// A late command is rejected by the number of accepted commands that it expects.
 const FENCING_TOKEN: u64 = 1;
 
-/// Refusal of a request for an earlier incarnation of the engine.
-const ENGINE_REPLACED: message::PermitDecision = message::PermitDecision::Refused {
-    reason: message::RefusalReason::EngineReplaced,
-    retry_after: time::Duration::ZERO,
-};
-
-struct WaitingPermit {
-    id: permits::PermitId,
-    /// Engine that the entry asked for.
-    engine: message::EngineIdentity,
-    decision: oneshot::Sender<message::PermitDecision>,
-}
-
-struct EngineState {
-    broker: slot_broker::SlotBroker,
-    waiting: Vec<WaitingPermit>,
-    identity: message::EngineIdentity,
-    model: String,
-    /// Accepted commands, from the newest report.
-    sequence: u64,
-    missed_reports: u32,
-}
-
 /// Broker of one engine.
 pub struct EngineBroker {
     settings: settings::BrokerSettings,
     engine: Box<dyn engine::EngineControl>,
-    state: Mutex<EngineState>,
+    state: Mutex<engine_state::EngineState>,
     started: tokio::time::Instant,
     wake: Notify,
     /// Signals that a report has arrived, after which a command may be due.
@@ -73,17 +50,7 @@
             batch_slots: 1,
             unstarted: settings.unstarted,
         };
-        let state = EngineState {
-            broker: slot_broker::SlotBroker::new(limits),
-            waiting: Vec::new(),
-            identity: message::EngineIdentity {
-                id: String::new(),
-                incarnation: 0,
-            },
-            model: String::new(),
-            sequence: 0,
-            missed_reports: 0,
-        };
+        let state = engine_state::EngineState::new(limits);
         Self {
             settings,
             engine,
@@ -246,7 +213,11 @@
     }
 
     /// Updates the engine from the entry's call; false if the call is for an earlier incarnation.
-    fn update_spec(&self, state: &mut EngineState, engine: &message::EngineSpec) -> bool {
+    fn update_spec(
+        &self,
+        state: &mut engine_state::EngineState,
+        engine: &message::EngineSpec,
+    ) -> bool {
         let newest = state.identity.incarnation.max(state.broker.incarnation());
         if engine.identity.is_older_than(newest) {
             return false;
@@ -285,7 +256,7 @@
             state.release(call.entry, &call.released, now);
             if !self.update_spec(&mut state, &call.engine) {
                 return message::PermitReply {
-                    decision: ENGINE_REPLACED,
+                    decision: engine_state::ENGINE_REPLACED,
                     view: state.view(now),
                 };
             }
@@ -310,7 +281,7 @@
                 };
             }
             let (sender, receiver) = oneshot::channel();
-            state.waiting.push(WaitingPermit {
+            state.waiting.push(engine_state::WaitingPermit {
                 id,
                 engine: call.engine.identity,
                 decision: sender,
@@ -327,75 +298,6 @@
     }
 }
 
-impl EngineState {
-    /// Whether the entries' newest identity of the engine is that of its reports. Another engine
-    /// would refuse the commands.
-    fn knows_engine(&self) -> bool {
-        !self.identity.is_older_than(self.broker.incarnation())
-    }
-
-    /// Refuses the calls that wait for an engine which has restarted since.
-    fn refuse_replaced(&mut self, now: units::Timestamp) {
-        let incarnation = self.broker.incarnation();
-        let (replaced, waiting) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|permit| permit.engine.is_older_than(incarnation));
-        self.waiting = waiting;
-        let replaced: Vec<WaitingPermit> = replaced;
-        for permit in replaced {
-            self.broker.release(permit.id, now);
-            // The call may have been cancelled.
-            let _ = permit.decision.send(ENGINE_REPLACED);
-        }
-    }
-
-    /// Sends outcomes to waiting calls; releases the permit of a call that was cancelled.
-    fn deliver_outcomes(
-        &mut self,
-        outcomes: Vec<(permits::PermitId, permits::PermitOutcome)>,
-        now: units::Timestamp,
-    ) {
-        for (id, outcome) in outcomes {
-            let Some(position) = self.waiting.iter().position(|permit| permit.id == id) else {
-                continue;
-            };
-            let permit = self.waiting.swap_remove(position);
-            if permit.decision.send(outcome.into()).is_err() {
-                self.broker.release(id, now);
-            }
-        }
-    }
-
-    fn release(&mut self, entry: u64, numbers: &[u64], now: units::Timestamp) {
-        for number in numbers {
-            let id = permits::PermitId {
-                entry,
-                number: *number,
-            };
-            self.broker.release(id, now);
-        }
-    }
-
-    fn view(&self, now: units::Timestamp) -> message::EngineView {
-        let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
-        let loaded = self.broker.loaded();
-        message::EngineView {
-            incarnation: self.identity.incarnation.max(self.broker.incarnation()),
-            has_model: self.broker.expects_model(now),
-            loaded: loaded
-                .map(|content| (content.name.clone(), content.version))
-                .collect(),
-            loading: self.broker.loading(),
-            recent: self.broker.recent().map(str::to_owned).collect(),
-            slot_wait: self.broker.slot_wait(),
-            backlog: self.broker.backlog(now),
-            prefill_token_time: self.broker.prefill_token_time(),
-            running: count(self.broker.running()),
-            entries: count(self.broker.entries(now)),
-        }
-    }
-}
-
 impl service::BrokerHandler for EngineBroker {
     fn request_permit(&self, call: message::PermitCall) -> BoxFuture<'_, message::PermitReply> {
         Box::pin(async move {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,10 @@
     /// empty.
     #[serde_as(as = "numbers::Milliseconds<2_000>")]
     pub leave_ms: time::Duration,
+    /// Time within which a configuration must be in force, in milliseconds; 2,000 if empty.
+    #[serde_as(as = "numbers::Milliseconds<2_000>")]
+    #[serde(default = "default_apply_time")]
+    pub apply_ms: time::Duration,
     /// Memory of the instance, in MB; 160 if empty. Limits on buffered responses follow from it.
     #[serde_as(as = "numbers::CountOrDefault<160>")]
     #[serde(default = "default_memory")]
@@ -92,6 +96,10 @@
     }
 }
 
+fn default_apply_time() -> time::Duration {
+    time::Duration::from_secs(2)
+}
+
 fn default_memory() -> u32 {
     160
 }
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -49,7 +49,7 @@
     let logger = logs::stdout_logger("gateway", &settings.instance, &settings.data_centre);
     runtime()?.block_on(async {
         let metrics = metrics::GatewayMetrics::new().context(MetricsSnafu)?;
-        let store = Arc::new(store::PlatformStore::new(settings.store));
+        let store = Arc::new(store::PlatformStore::new(settings.store, settings.apply_ms));
         let wire = Arc::new(protocol::PlatformProtocol);
         let watching = watch_settings(path.to_owned(), settings.clone(), logger.clone());
         tokio::spawn(watching);
