Tell an engine's adapters only when they change, and end the contest of two claims

Each gateway gets a view of each engine twice a second and with each permit; most of it are the names of up to 40 adapters, which rarely change. Traced with a line a step: both entries read the winning claim at the same time; the loser attaches before the winner dispatches, is told that the request is unknown, cancels and supersedes it; the other does the same, until the attempts are used up and a caller is told that the outcome is unknown. No request ran twice.

Change: views bear a hash of the adapters and omit them if the entry knows that hash. The loser asks for an unknown request ten times, every 100 ms, before it supersedes it. An agent looks a request's stream and state up under one lock; a request admitted between the two would have looked finished (found by reading; the test of it passed before the change too). The logs of processes in tests/keys are printed when a test fails: their directory was removed first.

--- a/crates/agent/src/requests.rs
+++ b/crates/agent/src/requests.rs
@@ -160,12 +160,19 @@
         session: &sessions::AgentSession,
         request: ids::RequestId,
     ) -> message::CancelReply {
-        let Some(stream) = self.stream(request) else {
-            let state = self.shard(request).lock().table.state(request);
-            return match state {
-                None | Some(RequestState::CancelledBeforeStart) => message::CancelReply::NotRun,
-                Some(_) => message::CancelReply::Finished,
-            };
+        // One lock for both: a request that is admitted between them would look finished.
+        let found = {
+            let shard = self.shard(request).lock();
+            shard
+                .stream(request)
+                .ok_or_else(|| shard.table.state(request))
+        };
+        let stream = match found {
+            Ok(stream) => stream,
+            Err(None | Some(RequestState::CancelledBeforeStart)) => {
+                return message::CancelReply::NotRun;
+            }
+            Err(Some(_)) => return message::CancelReply::Finished,
         };
         if !stream.attach(session.id()) {
             return message::CancelReply::Finished;
--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -127,6 +127,7 @@
         &self,
         entry: u64,
         engine: message::EngineSpec,
+        known_adapters: Option<u64>,
         now: units::Timestamp,
     ) -> Result<message::EngineView, CallError> {
         let connection = self.connect(now).await?;
@@ -135,6 +136,7 @@
             entry,
             engine,
             released: released.clone(),
+            known_adapters,
         };
         let view = connection
             .heartbeat(service::deadline(RESPONSE_MARGIN), call)
--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -1,6 +1,9 @@
 //! State of one engine in its broker, with the calls that wait for a permit.
 
-use std::time;
+use std::{
+    hash::{self, Hash, Hasher},
+    time,
+};
 
 use decisions::{permits, slot_broker, units};
 use tokio::sync::oneshot;
@@ -101,19 +104,17 @@
         }
     }
 
-    /// State of the engine for the entries.
+    /// State of the engine for an entry that knows the adapters of a hash.
     #[must_use]
-    pub fn view(&self, now: units::Timestamp) -> message::EngineView {
+    pub fn view(&self, known_adapters: Option<u64>, now: units::Timestamp) -> message::EngineView {
         let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
-        let loaded = self.broker.loaded();
+        let adapters = self.adapters();
+        let adapters_hash = hash_adapters(&adapters);
         message::EngineView {
             incarnation: self.identity.incarnation.max(self.broker.incarnation()),
             has_model: self.broker.expects_model(now),
-            loaded: loaded
-                .map(|content| (content.name.clone(), content.version))
-                .collect(),
-            loading: self.broker.loading(),
-            recent: self.broker.recent().map(str::to_owned).collect(),
+            adapters_hash,
+            adapters: (known_adapters != Some(adapters_hash)).then_some(adapters),
             slot_wait: self.broker.slot_wait(),
             backlog: self.broker.backlog(now),
             prefill_token_time: self.broker.prefill_token_time(),
@@ -121,4 +122,21 @@
             entries: count(self.broker.entries(now)),
         }
     }
+
+    fn adapters(&self) -> message::EngineAdapters {
+        let loaded = self.broker.loaded();
+        message::EngineAdapters {
+            loaded: loaded
+                .map(|content| (content.name.clone(), content.version))
+                .collect(),
+            loading: self.broker.loading(),
+            recent: self.broker.recent().map(str::to_owned).collect(),
+        }
+    }
+}
+
+fn hash_adapters(adapters: &message::EngineAdapters) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    adapters.hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -70,6 +70,8 @@
     pub deadline: time::Duration,
     /// Permits that the entry releases.
     pub released: Vec<u64>,
+    /// Hash of the engine's adapters that the entry knows.
+    pub known_adapters: Option<u64>,
 }
 
 /// Reason why a permit is refused.
@@ -98,18 +100,27 @@
     },
 }
 
-/// State of an engine, with its active permits.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EngineView {
-    pub incarnation: u64,
-    /// The base model is loaded or expected; the backlog includes the wait for it.
-    pub has_model: bool,
+/// Adapters of an engine. They change with each load, much less often than the rest of its state.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct EngineAdapters {
     /// Name and version of the loaded adapters.
     pub loaded: Vec<(String, u32)>,
     /// Names of adapters that are being loaded.
     pub loading: Vec<String>,
     /// Names of adapters that were loaded recently.
     pub recent: Vec<String>,
+}
+
+/// State of an engine, with its active permits.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineView {
+    pub incarnation: u64,
+    /// The base model is loaded or expected; the backlog includes the wait for it.
+    pub has_model: bool,
+    /// Hash of the adapters.
+    pub adapters_hash: u64,
+    /// Omitted if the entry knows the adapters of this hash.
+    pub adapters: Option<EngineAdapters>,
     /// Time until a slot is free for another adapter.
     pub slot_wait: time::Duration,
     /// Time until the engine could start another prompt.
@@ -134,6 +145,8 @@
     pub entry: u64,
     pub engine: EngineSpec,
     pub released: Vec<u64>,
+    /// Hash of the engine's adapters that the entry knows.
+    pub known_adapters: Option<u64>,
 }
 
 impl RefusalReason {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -247,6 +247,7 @@
 
     async fn acquire_permit(&self, call: message::PermitCall) -> message::PermitReply {
         let now = self.now();
+        let known_adapters = call.known_adapters;
         let id = permits::PermitId {
             entry: call.entry,
             number: call.number,
@@ -257,7 +258,7 @@
             if !self.update_spec(&mut state, &call.engine) {
                 return message::PermitReply {
                     decision: engine_state::ENGINE_REPLACED,
-                    view: state.view(now),
+                    view: state.view(known_adapters, now),
                 };
             }
             let request = permits::PermitRequest {
@@ -277,7 +278,7 @@
             if let Some(outcome) = state.broker.request_permit(request, now) {
                 return message::PermitReply {
                     decision: outcome.into(),
-                    view: state.view(now),
+                    view: state.view(known_adapters, now),
                 };
             }
             let (sender, receiver) = oneshot::channel();
@@ -293,7 +294,7 @@
             reason: message::RefusalReason::EngineUnreachable,
             retry_after: time::Duration::ZERO,
         });
-        let view = self.state.lock().view(self.now());
+        let view = self.state.lock().view(known_adapters, self.now());
         message::PermitReply { decision, view }
     }
 }
@@ -317,7 +318,7 @@
         state.broker.entry_seen(call.entry, now);
         self.update_spec(&mut state, &call.engine);
         state.release(call.entry, &call.released, now);
-        state.view(now)
+        state.view(call.known_adapters, now)
     }
 }
 
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -43,6 +43,7 @@
         start_deadline: WAIT,
         deadline: WAIT,
         released: Vec::new(),
+        known_adapters: None,
     };
     let now = units::Timestamp(0);
     let permit = async {
@@ -52,7 +53,10 @@
     };
     let heartbeat = async {
         tokio::time::sleep(time::Duration::from_millis(100)).await;
-        client.heartbeat(1, engine_spec(), now).await.unwrap_err()
+        client
+            .heartbeat(1, engine_spec(), None, now)
+            .await
+            .unwrap_err()
     };
     let ((error, elapsed), heartbeat) = tokio::join!(permit, heartbeat);
     assert!(error.is_unresponsive() && heartbeat.is_unresponsive());
@@ -67,7 +71,7 @@
     let client = BrokerClient::new(listener.local_addr().unwrap());
     drop(listener);
     let error = client
-        .heartbeat(1, engine_spec(), units::Timestamp(0))
+        .heartbeat(1, engine_spec(), None, units::Timestamp(0))
         .await
         .unwrap_err();
     assert!(!error.is_unresponsive(), "{error}");
--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -77,12 +77,11 @@
         start_deadline: time::Duration::from_secs(20),
         deadline: time::Duration::from_secs(20),
         released: Vec::new(),
+        known_adapters: None,
     }
 }
 
-// Guards against permits for a free engine that are delayed by a command without a response.
-#[tokio::test(start_paused = true)]
-async fn pending_command_does_not_delay_permits() {
+fn start() -> (Arc<server::EngineBroker>, tokio::task::JoinHandle<()>) {
     let settings = settings::BrokerSettings {
         instance: "side-0".to_owned(),
         data_centre: "north".to_owned(),
@@ -98,6 +97,13 @@
     let broker = Arc::new(broker);
     let served = Arc::clone(&broker);
     let task = tokio::spawn(async move { served.run().await });
+    (broker, task)
+}
+
+// Guards against permits for a free engine that are delayed by a command without a response.
+#[tokio::test(start_paused = true)]
+async fn pending_command_does_not_delay_permits() {
+    let (broker, task) = start();
     let ordering = Arc::clone(&broker);
     let cold = tokio::spawn(async move { ordering.request_permit(call(1, "missing")).await });
     // By then, the command to load the missing adapter has been sent.
@@ -118,3 +124,23 @@
     cold.abort();
     task.abort();
 }
+
+// Guards against views that repeat the adapters in each reply, and against views that omit adapters
+// which the entry does not know.
+#[tokio::test(start_paused = true)]
+async fn known_adapters_are_omitted() {
+    let (broker, task) = start();
+    let first = broker.request_permit(call(1, "held")).await.view;
+    let adapters = first.adapters.unwrap();
+    assert_eq!(adapters.loaded, [("held".to_owned(), 1)]);
+    let mut next = call(2, "held");
+    next.known_adapters = Some(first.adapters_hash);
+    let second = broker.request_permit(next).await.view;
+    assert_eq!(second.adapters, None);
+    assert_eq!(second.adapters_hash, first.adapters_hash);
+    let mut other = call(3, "held");
+    other.known_adapters = Some(first.adapters_hash ^ 1);
+    let third = broker.request_permit(other).await.view;
+    assert_eq!(third.adapters, Some(adapters));
+    task.abort();
+}
--- a/crates/broker/tests/replaced_engine.rs
+++ b/crates/broker/tests/replaced_engine.rs
@@ -71,6 +71,7 @@
         start_deadline: time::Duration::from_secs(4),
         deadline: time::Duration::from_secs(4),
         released: Vec::new(),
+        known_adapters: None,
     }
 }
 
--- a/crates/entry/src/idempotency.rs
+++ b/crates/entry/src/idempotency.rs
@@ -23,6 +23,10 @@
 
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Interval and maximum number of further attempts to attach to a claimed request that its agent does
+/// not know yet.
+const ATTACH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const MAX_ATTACH_RETRIES: u32 = 10;
 /// Time after the deadline in which a tombstone may still be inserted.
 const TOMBSTONE_GRACE: time::Duration = time::Duration::from_secs(5);
 
@@ -293,6 +297,9 @@
     (event, None)
 }
 
+/// Attaches to the request of another entry's claim. That entry reads its claim at about the same
+/// time and dispatches only then, so an unknown request is asked for again before it is superseded:
+/// otherwise the entries supersede each other until their attempts are used up.
 async fn attach_claimed(
     request: &IdempotentRequest<'_>,
     claimed: claim_attempt::ClaimedRequest,
@@ -307,11 +314,22 @@
         Some(own_target) => attempts::OpenAttempt::retained(request.context, own_target.clone()),
         None => attempts::OpenAttempt::attached(request.context, target),
     };
-    let call = service::context_with_timeout(CALL_TIMEOUT);
-    let reply = connection
-        .client
-        .attach(call, connection.session, claimed.agent, claimed.request);
-    match reply.await {
+    let mut retries = 0;
+    let reply = loop {
+        let call = service::context_with_timeout(CALL_TIMEOUT);
+        let reply =
+            connection
+                .client
+                .attach(call, connection.session, claimed.agent, claimed.request);
+        let reply = reply.await;
+        let is_unknown = matches!(reply, Ok(message::CancelReply::NotRun));
+        if !is_unknown || retries == MAX_ATTACH_RETRIES {
+            break reply;
+        }
+        retries += 1;
+        tokio::time::sleep(ATTACH_INTERVAL).await;
+    };
+    match reply {
         Ok(message::CancelReply::Running) => (ClaimEvent::Attached, Some(attempt)),
         Ok(message::CancelReply::NotRun) => (ClaimEvent::RequestUnknown, None),
         // A response that is no longer retained is lost, as after a change of incarnation.
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -27,7 +27,7 @@
                     let now = dispatcher.now();
                     let view = replica
                         .broker
-                        .heartbeat(dispatcher.incarnation, spec, now)
+                        .heartbeat(dispatcher.incarnation, spec, replica.adapters_hash, now)
                         .await;
                     (replica.id, view)
                 }
@@ -73,7 +73,8 @@
                 let now = dispatcher.now();
                 let entry = dispatcher.incarnation;
                 // A failure is reported by the next heartbeat, which sends the same releases.
-                if let Ok(view) = replica.broker.heartbeat(entry, spec, now).await {
+                let known = replica.adapters_hash;
+                if let Ok(view) = replica.broker.heartbeat(entry, spec, known, now).await {
                     dispatcher.record_view(&replica.id, view);
                 }
             }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -196,6 +196,7 @@
                 .saturating_sub(FIRST_EVENT_LATENCY),
             deadline: plan.time_left(),
             released: Vec::new(),
+            known_adapters: replica.adapters_hash,
         }
     }
 
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -18,6 +18,10 @@
 #[derive(Clone, Debug)]
 struct ReceivedView {
     view: message::EngineView,
+    /// Adapters of this or of an earlier view, with their hash. Replies may overtake each other, so
+    /// the view may bear another hash.
+    adapters: message::EngineAdapters,
+    adapters_hash: u64,
     received_at: units::Timestamp,
 }
 
@@ -53,6 +57,8 @@
     pub version: Option<u32>,
     /// Expected time until the request starts.
     pub expected_wait: time::Duration,
+    /// Hash of its adapters that this entry knows.
+    pub adapters_hash: Option<u64>,
     /// Age of the broker's view, for the log.
     pub view_age: Option<time::Duration>,
 }
@@ -81,13 +87,31 @@
     }
 
     /// Records the engine state reported by the broker.
-    pub fn record_view(&mut self, view: message::EngineView, now: units::Timestamp) {
+    pub fn record_view(&mut self, mut view: message::EngineView, now: units::Timestamp) {
+        let earlier = self.view.take();
+        let stated = view
+            .adapters
+            .take()
+            .map(|stated| (stated, view.adapters_hash));
+        let known = earlier.map(|known| (known.adapters, known.adapters_hash));
+        let Some((adapters, adapters_hash)) = stated.or(known) else {
+            // The adapters that the broker omitted were forgotten when the engine restarted.
+            return;
+        };
         self.view = Some(ReceivedView {
             view,
+            adapters,
+            adapters_hash,
             received_at: now,
         });
     }
 
+    /// Hash of the adapters that are known, to be sent to the broker.
+    #[must_use]
+    pub fn adapters_hash(&self) -> Option<u64> {
+        self.view.as_ref().map(|known| known.adapters_hash)
+    }
+
     /// Applies a record unless it is older than the current one.
     pub fn update_record(
         &mut self,
@@ -157,6 +181,7 @@
             is_loaded: false,
             version: None,
             expected_wait: time::Duration::ZERO,
+            adapters_hash: self.adapters_hash(),
             view_age: self.view.as_ref().map(|known| now.since(known.received_at)),
         }
     }
@@ -164,12 +189,21 @@
     /// Recent view from the broker, if it is of this incarnation.
     #[must_use]
     pub fn fresh_view(&self, now: units::Timestamp) -> Option<&message::EngineView> {
+        self.fresh_state(now).map(|known| &known.view)
+    }
+
+    /// Adapters in a recent view.
+    fn fresh_adapters(&self, now: units::Timestamp) -> Option<&message::EngineAdapters> {
+        self.fresh_state(now).map(|known| &known.adapters)
+    }
+
+    fn fresh_state(&self, now: units::Timestamp) -> Option<&ReceivedView> {
         let known = self.view.as_ref()?;
         let is_fresh = now.since(known.received_at) < MAX_VIEW_AGE;
         let incarnation = self.record.incarnation;
         // A broker that no entry has called yet does not know its engine.
         let is_current = incarnation == 0 || known.view.incarnation == incarnation;
-        (is_fresh && is_current).then_some(&known.view)
+        (is_fresh && is_current).then_some(known)
     }
 
     /// Whether its broker serves a newer incarnation than that of its record.
@@ -211,8 +245,8 @@
     /// Version of the loaded adapter; `None` if it is not loaded.
     pub fn loaded_version(&self, plan: &plan::RequestPlan, now: units::Timestamp) -> Option<u32> {
         let (model, adapter) = plan.adapter()?;
-        if let Some(view) = self.fresh_view(now) {
-            let loaded = view.loaded.iter().find(|(name, _)| name == adapter);
+        if let Some(adapters) = self.fresh_adapters(now) {
+            let loaded = adapters.loaded.iter().find(|(name, _)| name == adapter);
             return loaded.map(|(_, version)| *version);
         }
         let model = self
@@ -238,12 +272,13 @@
         {
             return replica_choice::AdapterLocation::Loaded;
         }
-        let view = self.fresh_view(now);
-        if view.is_some_and(|view| view.loading.iter().any(|name| name == adapter)) {
+        let Some(adapters) = self.fresh_adapters(now) else {
+            return replica_choice::AdapterLocation::Cold;
+        };
+        if adapters.loading.iter().any(|name| name == adapter) {
             return replica_choice::AdapterLocation::Loading;
         }
-        let is_recent = view.is_some_and(|view| view.recent.iter().any(|name| name == adapter));
-        if is_recent {
+        if adapters.recent.iter().any(|name| name == adapter) {
             replica_choice::AdapterLocation::Warm
         } else {
             replica_choice::AdapterLocation::Cold
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -46,10 +46,11 @@
 
 /// Agent without engines for the service, and two entries.
 struct OrderSetup {
-    cluster: TestCluster,
     agent: ClusterNode,
     first_entry: ClusterNode,
     second_entry: ClusterNode,
+    /// Dropped last: its directory holds the logs that the processes print when a test fails.
+    cluster: TestCluster,
 }
 
 impl OrderSetup {
