--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -65,10 +65,10 @@
             cluster::wait_version(entry.address, 1).await;
         }
         Self {
-            cluster,
             agent,
             first_entry,
             second_entry,
+            cluster,
         }
     }
 
