--- a/crates/decisions/src/model_load.rs
+++ b/crates/decisions/src/model_load.rs
@@ -12,7 +12,7 @@
 const COMMAND_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Backoff before a refused command is repeated.
 const COMMAND_BACKOFF: time::Duration = time::Duration::from_millis(300);
-/// Time by which a load may exceed its usual time until it counts as failed.
+/// Time by which a load may exceed its usual time before it counts as failed.
 const OVERDUE_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time after a load in which requests that waited for it may get a slot although they are late.
 const CATCH_UP_TIME: time::Duration = time::Duration::from_secs(1);
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Whether the load is to be commanded now.
-    pub fn is_command_due(&mut self, now: units::Timestamp) -> bool {
+    /// Whether the load is to be commanded now; the caller then sends the command.
+    pub fn take_due_command(&mut self, now: units::Timestamp) -> bool {
         if self.is_loaded || now < self.retry_at || !self.can_load {
             return false;
         }
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -213,7 +213,7 @@
     /// Next command to the engine, if one is due. An unload frees the slot for a later load.
     pub fn next_command(&mut self, now: units::Timestamp) -> Option<engine_status::EngineCommand> {
         if !self.model.is_loaded() {
-            let is_due = self.model.is_command_due(now);
+            let is_due = self.model.take_due_command(now);
             return is_due.then_some(engine_status::EngineCommand::LoadModel);
         }
         if self.slots.loads() >= self.limits.parallel_loads {
@@ -233,12 +233,6 @@
         })
     }
 
-    /// Whether the engine holds the base model.
-    #[must_use]
-    pub fn has_model(&self) -> bool {
-        self.model.is_loaded()
-    }
-
     /// Whether the engine holds the base model or is expected to hold it soon.
     #[must_use]
     pub fn expects_model(&self, now: units::Timestamp) -> bool {
--- a/crates/gateway/src/numbers.rs
+++ b/crates/gateway/src/numbers.rs
@@ -1,4 +1,4 @@
-//! Numbers of settings and records, which may be integers or fractions.
+//! Numbers of settings, which may be integers or fractions.
 //!
 //! A platform writes any number with or without a fraction. Times keep their fraction. Counts are
 //! limits and are rounded down. In settings, an empty value stands for the default.
@@ -18,9 +18,6 @@
 /// Time in seconds; `DEFAULT` if empty.
 pub struct Seconds<const DEFAULT: u64>;
 
-/// Count that is rounded down and saturates.
-pub struct RoundedDown;
-
 /// Count that is rounded down and saturates; `DEFAULT` if empty.
 pub struct CountOrDefault<const DEFAULT: u32>;
 
@@ -45,12 +42,6 @@
     }
 }
 
-impl<'de> DeserializeAs<'de, u32> for RoundedDown {
-    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
-        round_down(f64::deserialize(deserializer)?)
-    }
-}
-
 impl<'de, const DEFAULT: u32> DeserializeAs<'de, u32> for CountOrDefault<DEFAULT> {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
         match Option::<f64>::deserialize(deserializer)? {
