Take the prefill of shared parts out of the choice again

Counting the prefill of shared parts keeps short requests with their holders, also among the replicas for long responses, whose streams then end too late.

--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -117,7 +117,6 @@
             adapters: (known_adapters != Some(adapters_hash)).then_some(adapters),
             slot_wait: self.broker.slot_wait(),
             backlog: self.broker.backlog(now),
-            prefill_token_time: self.broker.prefill_token_time(),
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
         }
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -125,8 +125,6 @@
     pub slot_wait: time::Duration,
     /// Time until the engine could start another prompt.
     pub backlog: time::Duration,
-    /// Prefill time of one prompt token.
-    pub prefill_token_time: time::Duration,
     pub running: u32,
     /// Entries that use this broker.
     pub entries: u32,
--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -1,8 +1,7 @@
 //! Choice of the replica for a request.
 //!
 //! The cost of a replica is the expected time until it would start the request: its backlog, the
-//! load of the adapter and the prefill of shared parts of the prompt if the adapter is missing, and a
-//! penalty for another data centre. Otherwise equal
+//! load of the adapter if it is missing, and a penalty for another data centre. Otherwise equal
 //! replicas are ranked by rendezvous hashing of the adapter, so that all entries send a rarely used
 //! adapter to the same replica without coordination. There are thousands of adapters for a few
 //! slots, and most of them are requested rarely.
@@ -86,9 +85,6 @@
     pub slot_wait: time::Duration,
     /// Time until the replica would start another request.
     pub backlog: time::Duration,
-    /// Time to prefill the parts of the prompt that other requests for the adapter share. A replica
-    /// with the adapter has them cached; unloading an adapter drops them.
-    pub shared_prefill: time::Duration,
     pub is_local: bool,
     /// Failure rate of recent requests, 0 to 1.
     pub failures: f64,
@@ -122,8 +118,8 @@
         let load = match self.adapter {
             AdapterLocation::Loaded => return time::Duration::ZERO,
             AdapterLocation::Loading => LOADING_COST,
-            AdapterLocation::Warm => WARM_LOAD_COST + self.slot_cost() + self.shared_prefill,
-            AdapterLocation::Cold => COLD_LOAD_COST + self.slot_cost() + self.shared_prefill,
+            AdapterLocation::Warm => WARM_LOAD_COST + self.slot_cost(),
+            AdapterLocation::Cold => COLD_LOAD_COST + self.slot_cost(),
         };
         let mut cost = load;
         if self.readiness == EngineReadiness::NoBroker {
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -257,12 +257,6 @@
         self.slots.unloaded(name);
     }
 
-    /// Prefill time of one prompt token.
-    #[must_use]
-    pub fn prefill_token_time(&self) -> time::Duration {
-        self.latency.prefill_time(1)
-    }
-
     /// Adapters in slots, sorted by name.
     pub fn loaded(&self) -> impl Iterator<Item = &engine_status::EngineAdapter> {
         self.slots.loaded()
--- a/crates/decisions/tests/replica_choice.rs
+++ b/crates/decisions/tests/replica_choice.rs
@@ -13,7 +13,6 @@
     length_affinity: LengthAffinity::Preferred,
     slot_wait: time::Duration::ZERO,
     backlog: time::Duration::ZERO,
-    shared_prefill: time::Duration::ZERO,
     is_local: true,
     failures: 0.0,
     rank: 0,
@@ -41,23 +40,6 @@
     assert_eq!(choose(&[with_backlog(backlog), cold(0)]), Some(expected));
 }
 
-// Guards against a second copy of an adapter whose holder would start the request sooner, because
-// it need not prefill the shared parts of the prompt.
-#[test_case(0, 1; "short shared parts")]
-#[test_case(170, 0; "long shared parts")]
-fn shared_parts_speak_for_the_holder(shared_millis: u64, expected: usize) {
-    let shared_prefill = time::Duration::from_millis(shared_millis);
-    let copy = ReplicaOption {
-        shared_prefill,
-        ..cold(0)
-    };
-    let holder = ReplicaOption {
-        shared_prefill,
-        ..with_backlog(400)
-    };
-    assert_eq!(choose(&[holder, copy]), Some(expected));
-}
-
 // Guards against entries that send the same cold adapter to different replicas.
 #[test]
 fn cold_adapter_goes_to_its_first_ranked_replica() {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -11,8 +11,6 @@
     pub model: String,
     pub adapter: Option<String>,
     pub prompt_tokens: u32,
-    /// Tokens at the start of the prompt that other requests for the adapter share.
-    pub shared_tokens: u32,
     pub max_output_tokens: u32,
     /// Caller's estimate of the response length, often wrong.
     pub expected_tokens: Option<u32>,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -300,21 +300,6 @@
         })
     }
 
-    /// Time to prefill the shared parts of a request's prompt.
-    #[must_use]
-    pub fn shared_prefill(
-        &self,
-        plan: &plan::RequestPlan,
-        now: units::Timestamp,
-    ) -> time::Duration {
-        let generation = plan.request.generation.as_ref();
-        let tokens = generation.map_or(0, |generation| generation.shared_tokens);
-        let view = self.fresh_view(now);
-        view.map_or(time::Duration::ZERO, |view| {
-            view.prefill_token_time.saturating_mul(tokens)
-        })
-    }
-
     /// Replica of a plain service as an option for a request.
     #[must_use]
     pub fn service_option(
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -389,7 +389,6 @@
             length_affinity,
             slot_wait: view.map_or(time::Duration::ZERO, |view| view.slot_wait),
             backlog: replica.backlog(now),
-            shared_prefill: replica.shared_prefill(plan, now),
             is_local: replica.record.data_centre == self.data_centre,
             failures: replica.failures.rate(now),
             rank,
