Share the set-up of the broker's tests, and say what the buffer budget covers

Cause: read as a newcomer would. The set-up of a broker stood twice in its tests. The pages said that buffered responses count until they are passed on; a complete response is released from the budget before its caller has read it.

No check changed.

--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -1,11 +1,12 @@
 //! Broker of an engine that does not respond to commands.
 
+mod support;
+
 use std::{sync::Arc, time};
 
-use broker::{engine, message, metrics, server, service::BrokerHandler, settings};
+use broker::{engine, message, service::BrokerHandler};
 use decisions::engine_status;
 use futures::future::BoxFuture;
-use telemetry::logs;
 
 /// Time until a command times out.
 const COMMAND_TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -81,29 +82,10 @@
     }
 }
 
-fn start() -> (Arc<server::EngineBroker>, tokio::task::JoinHandle<()>) {
-    let settings = settings::BrokerSettings {
-        instance: "side-0".to_owned(),
-        data_centre: "north".to_owned(),
-        listen: "127.0.0.1:0".parse().unwrap(),
-        engine: None,
-        metrics: None,
-        unstarted: 1,
-        parallel_loads: 1,
-    };
-    let metrics = metrics::BrokerMetrics::new().unwrap();
-    let logger = logs::discard_logger();
-    let broker = server::EngineBroker::new(settings, Box::new(UnresponsiveEngine), logger, metrics);
-    let broker = Arc::new(broker);
-    let served = Arc::clone(&broker);
-    let task = tokio::spawn(async move { served.run().await });
-    (broker, task)
-}
-
 // Guards against permits for a free engine that are delayed by a command without a response.
 #[tokio::test(start_paused = true)]
 async fn pending_command_does_not_delay_permits() {
-    let (broker, task) = start();
+    let (broker, task) = support::start(Box::new(UnresponsiveEngine));
     let ordering = Arc::clone(&broker);
     let cold = tokio::spawn(async move { ordering.request_permit(call(1, "missing")).await });
     // By then, the command to load the missing adapter has been sent.
@@ -129,7 +111,7 @@
 // which the entry does not know.
 #[tokio::test(start_paused = true)]
 async fn known_adapters_are_omitted() {
-    let (broker, task) = start();
+    let (broker, task) = support::start(Box::new(UnresponsiveEngine));
     let first = broker.request_permit(call(1, "held")).await.view;
     let adapters = first.adapters.unwrap();
     assert_eq!(adapters.loaded, [("held".to_owned(), 1)]);
--- a/crates/broker/tests/replaced_engine.rs
+++ b/crates/broker/tests/replaced_engine.rs
@@ -1,14 +1,15 @@
 //! Broker of an engine that has restarted, called by entries that do not know it yet.
 
+mod support;
+
 use std::{
     sync::{Arc, Mutex},
     time,
 };
 
-use broker::{engine, message, metrics, server, service::BrokerHandler, settings};
+use broker::{engine, message, service::BrokerHandler};
 use decisions::engine_status;
 use futures::future::BoxFuture;
-use telemetry::logs;
 
 const OLD: u64 = 1_000;
 const NEW: u64 = 2_000;
@@ -75,25 +76,6 @@
     }
 }
 
-fn start(engine: &RestartedEngine) -> Arc<server::EngineBroker> {
-    let settings = settings::BrokerSettings {
-        instance: "side-0".to_owned(),
-        data_centre: "north".to_owned(),
-        listen: "127.0.0.1:0".parse().unwrap(),
-        engine: None,
-        metrics: None,
-        unstarted: 1,
-        parallel_loads: 1,
-    };
-    let metrics = metrics::BrokerMetrics::new().unwrap();
-    let logger = logs::discard_logger();
-    let broker = server::EngineBroker::new(settings, Box::new(engine.clone()), logger, metrics);
-    let broker = Arc::new(broker);
-    let served = Arc::clone(&broker);
-    tokio::spawn(async move { served.run().await });
-    broker
-}
-
 fn is_replaced(reply: &message::PermitReply) -> bool {
     let message::PermitDecision::Refused { reason, .. } = reply.decision else {
         return false;
@@ -106,7 +88,7 @@
 #[tokio::test(start_paused = true)]
 async fn former_id_gets_no_permit_and_no_command() {
     let engine = RestartedEngine::default();
-    let broker = start(&engine);
+    let (broker, _) = support::start(Box::new(engine.clone()));
     for number in 1..4 {
         let asked = tokio::time::Instant::now();
         let reply = broker.request_permit(call(number, "former", OLD)).await;
@@ -121,7 +103,7 @@
 #[tokio::test(start_paused = true)]
 async fn present_id_is_commanded_at_once() {
     let engine = RestartedEngine::default();
-    let broker = start(&engine);
+    let (broker, _) = support::start(Box::new(engine.clone()));
     broker.request_permit(call(1, "former", OLD)).await;
     let waiting = Arc::clone(&broker);
     let task = tokio::spawn(async move { waiting.request_permit(call(2, "present", NEW)).await });
--- a/crates/decisions/src/relisting.rs
+++ b/crates/decisions/src/relisting.rs
@@ -2,8 +2,8 @@
 //!
 //! Records expire while the store is unavailable, and live replicas publish them again soon after
 //! its recovery. Without a grace period an entry would lose most replicas at that moment. A replica
-//! that has really left must still get no more requests within the leave time of the entry that
-//! read of it, whatever the interval between two reads is.
+//! that has really left must still get no more requests once the leave time has passed since the entry
+//! found its record missing, whatever the interval between two reads is.
 
 use std::time;
 
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -1,8 +1,8 @@
 //! Memory for responses that are buffered, shared by all requests of a gateway.
 //!
 //! A broken replica may send without end. What one response may hold is limited, and so is what all
-//! of them hold together: beyond that a response is abandoned, and new requests are refused until
-//! others have been passed on.
+//! of them hold together while they are read: beyond that a response is abandoned, and new requests are
+//! refused until others are complete. A complete response no longer counts while its caller reads it.
 
 use std::sync::{
     Arc,
