Record which prompt parts an engine was about to start when it crashed

Cause: the logs of the crash loop could not tell a prompt part from an adapter or from load: sends were logged without the parts of their prompts, and nothing said which requests an engine was about to start.

Change: gateways decode the shared parts of prompts, log them with each send and tell them to brokers; a broker whose engine no longer listens logs and counts the crash with the parts of requests that had not started (event 419, broker_engine_crashes). No decision depends on it.

--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -42,6 +42,8 @@
 pub enum EngineError {
     #[snafu(display("the engine did not respond: {message}; retrying"))]
     NoResponse { message: String },
+    #[snafu(display("nothing listens at the engine's address; retrying"))]
+    NotListening,
     #[snafu(display("the engine's response cannot be decoded: {message}"))]
     Unreadable { message: String },
 }
--- a/crates/broker/src/metrics.rs
+++ b/crates/broker/src/metrics.rs
@@ -16,6 +16,7 @@
     permits: Counter<u64>,
     refusals: Counter<u64>,
     commands: Counter<u64>,
+    crashes: Counter<u64>,
     waits: Histogram<f64>,
 }
 
@@ -31,6 +32,7 @@
             permits: meter.u64_counter("broker_places").build(),
             refusals: meter.u64_counter("broker_refusals").build(),
             commands: meter.u64_counter("broker_orders").build(),
+            crashes: meter.u64_counter("broker_engine_crashes").build(),
             waits: metrics::seconds_histogram(&meter, "broker_place_wait_seconds"),
             registry,
         })
@@ -61,6 +63,11 @@
         self.commands.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a crash of the engine.
+    pub fn record_crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     /// Metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -122,6 +122,9 @@
                 state.broker.observe(&report.status, now)
             }
             Err(error) => {
+                if matches!(error, engine::EngineError::NotListening) {
+                    self.record_crash(&mut state, now);
+                }
                 state.missed_reports += 1;
                 if state.missed_reports < MAX_MISSED_REPORTS {
                     return;
@@ -136,6 +139,19 @@
         state.deliver_outcomes(outcomes, now);
     }
 
+    fn record_crash(&self, state: &mut engine_state::EngineState, now: units::Timestamp) {
+        let Some(crash) = state.broker.record_crash(now) else {
+            return;
+        };
+        self.metrics.record_crash();
+        let parts = crash.suspects.iter();
+        let parts = parts.map(|suspect| format!("{:x}@{}", suspect.part, suspect.position));
+        slog::warn!(self.logger, "the engine crashed";
+            "event" => events::ENGINE_CRASHED.number, "name" => events::ENGINE_CRASHED.name,
+            "incarnation" => crash.incarnation,
+            "prompt_parts" => parts.collect::<Vec<_>>().join(" "));
+    }
+
     /// Sends the next command; true if the engine's state may have changed.
     async fn send_next_command(&self) -> bool {
         let now = self.now();
@@ -269,6 +285,7 @@
                 }),
                 request: call.request,
                 priority: call.priority,
+                prompt_parts: call.prompt_parts,
                 prompt_tokens: call.prompt_tokens,
                 output_tokens: call.output_tokens,
                 objective: now + call.objective,
--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -72,6 +72,7 @@
             version: 0,
         }),
         priority: 1,
+        prompt_parts: Vec::new(),
         prompt_tokens: 100,
         output_tokens: 10,
         objective: time::Duration::from_secs(1),
--- /dev/null
+++ b/crates/decisions/src/crash_log.rs
@@ -0,0 +1,116 @@
+//! Crashes of one engine, with the prompt parts that may have caused them.
+//!
+//! An input that crashes an engine does so when the engine starts to generate from it. The parts of
+//! the prompts that the engine was about to start are therefore the suspects of a crash; requests
+//! that had emitted events are not.
+
+use std::time;
+
+use crate::units;
+
+/// Time for which a withdrawn request still counts as one that the engine was about to start.
+/// Entries notice a crash before the broker does and release their permits.
+const WITHDRAWAL_PERIOD: time::Duration = time::Duration::from_millis(300);
+/// Maximum number of crashes that are kept; the oldest yields.
+const MAX_CRASHES: usize = 4;
+/// Maximum number of suspects of one crash.
+const MAX_SUSPECTS: usize = 64;
+
+/// Prompt part of a request that an engine was about to start when it crashed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SuspectPart {
+    pub part: u64,
+    /// Position in the prompt, from 0.
+    pub position: u8,
+    /// A request with the part has started since the crash.
+    pub is_cleared: bool,
+}
+
+/// Crash of an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineCrash {
+    /// Incarnation that crashed.
+    pub incarnation: u64,
+    /// Time at which the crash was noticed.
+    pub at: units::Timestamp,
+    /// Sorted by part.
+    pub suspects: Vec<SuspectPart>,
+}
+
+/// Prompt parts of a request whose permit was released before it started.
+#[derive(Clone, Debug)]
+struct WithdrawnPrompt {
+    parts: Vec<u64>,
+    at: units::Timestamp,
+}
+
+/// Crashes of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLog {
+    /// In order of time.
+    crashes: Vec<EngineCrash>,
+    withdrawn: Vec<WithdrawnPrompt>,
+}
+
+impl CrashLog {
+    /// Records that a permit was released before its request started.
+    pub fn record_withdrawal(&mut self, parts: Vec<u64>, now: units::Timestamp) {
+        self.withdrawn
+            .retain(|prompt| now.since(prompt.at) < WITHDRAWAL_PERIOD);
+        if !parts.is_empty() {
+            self.withdrawn.push(WithdrawnPrompt { parts, at: now });
+        }
+    }
+
+    /// Records a crash with the prompts that had not started. Returns it unless it is known or the
+    /// incarnation is not.
+    pub fn record_crash<'a>(
+        &mut self,
+        incarnation: u64,
+        unstarted: impl Iterator<Item = &'a [u64]>,
+        now: units::Timestamp,
+    ) -> Option<&EngineCrash> {
+        let is_known = self
+            .crashes
+            .iter()
+            .any(|crash| crash.incarnation == incarnation);
+        if incarnation == 0 || is_known {
+            return None;
+        }
+        let mut suspects: Vec<SuspectPart> = unstarted.flat_map(suspect_parts).collect();
+        for prompt in std::mem::take(&mut self.withdrawn) {
+            if now.since(prompt.at) < WITHDRAWAL_PERIOD {
+                suspects.extend(suspect_parts(&prompt.parts));
+            }
+        }
+        suspects.sort_unstable();
+        suspects.dedup_by_key(|suspect| suspect.part);
+        suspects.truncate(MAX_SUSPECTS);
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(EngineCrash {
+            incarnation,
+            at: now,
+            suspects,
+        });
+        self.crashes.last()
+    }
+
+    /// Drops the crash of an incarnation that has reported since.
+    pub fn retract(&mut self, incarnation: u64) {
+        self.crashes
+            .retain(|crash| crash.incarnation != incarnation);
+    }
+}
+
+fn suspect_parts(prompt: &[u64]) -> impl Iterator<Item = SuspectPart> {
+    prompt
+        .iter()
+        .enumerate()
+        .map(|(position, part)| SuspectPart {
+            part: *part,
+            position: u8::try_from(position).unwrap_or(u8::MAX),
+            is_cleared: false,
+        })
+}
--- a/crates/decisions/src/permit_table.rs
+++ b/crates/decisions/src/permit_table.rs
@@ -25,10 +25,13 @@
     pub id: permits::PermitId,
     /// Adapter that the permit pins.
     pub adapter: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<u64>,
     request: String,
     prompt_tokens: u32,
     granted_at: units::Timestamp,
-    has_started: bool,
+    /// The engine has reported an event of the request.
+    pub has_started: bool,
 }
 
 /// Changes to the permits that a report shows.
@@ -73,6 +76,7 @@
                 .adapter
                 .as_ref()
                 .map(|required| required.name.clone()),
+            prompt_parts: request.prompt_parts.clone(),
             request: request.request.clone(),
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
@@ -139,6 +143,12 @@
         self.reported.saturating_add(in_transit)
     }
 
+    /// Parts of the prompts of the requests that have not started, one item for each request.
+    pub fn unstarted_prompts(&self) -> impl Iterator<Item = &[u64]> {
+        let unstarted = self.permits.iter().filter(|permit| !permit.has_started);
+        unstarted.map(|permit| permit.prompt_parts.as_slice())
+    }
+
     /// Prompt tokens of the requests that have not started.
     #[must_use]
     pub fn unstarted_tokens(&self) -> u64 {
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -19,8 +19,8 @@
 use std::time;
 
 use crate::{
-    active_entries, adapter_slots, engine_latency, engine_status, model_load, permit_table,
-    permits, units,
+    active_entries, adapter_slots, crash_log, engine_latency, engine_status, model_load,
+    permit_table, permits, units,
 };
 
 /// Retry-after of refusals while the engine has no model and none is expected.
@@ -61,6 +61,7 @@
     permits: permit_table::PermitTable,
     latency: engine_latency::EngineLatency,
     entries: active_entries::ActiveEntries,
+    crashes: crash_log::CrashLog,
 }
 
 impl SlotBroker {
@@ -77,6 +78,7 @@
             permits: permit_table::PermitTable::default(),
             latency: engine_latency::EngineLatency::default(),
             entries: active_entries::ActiveEntries::default(),
+            crashes: crash_log::CrashLog::default(),
         }
     }
 
@@ -150,9 +152,19 @@
         self.waiting.retain(|request| request.id != id);
         if let Some(permit) = self.permits.remove(id, now) {
             self.unpin_adapter(&permit, now);
+            if !permit.has_started {
+                self.crashes.record_withdrawal(permit.prompt_parts, now);
+            }
         }
     }
 
+    /// Records that nothing listens at the engine's address any more; returns the crash when it is
+    /// first seen.
+    pub fn record_crash(&mut self, now: units::Timestamp) -> Option<&crash_log::EngineCrash> {
+        let unstarted = self.permits.unstarted_prompts();
+        self.crashes.record_crash(self.incarnation, unstarted, now)
+    }
+
     /// Applies the engine's report and returns the outcomes that it leads to.
     pub fn observe(
         &mut self,
@@ -162,6 +174,7 @@
         if report.incarnation != self.incarnation {
             self.restart(report.incarnation);
         }
+        self.crashes.retract(report.incarnation);
         self.has_reported = true;
         self.model.observe(report, now);
         let progress = self.permits.observe(report, now);
--- /dev/null
+++ b/crates/decisions/tests/crash_log.rs
@@ -0,0 +1,106 @@
+//! Suspects of an engine's crash.
+
+use std::time;
+
+use decisions::{crash_log::*, engine_status::*, permits::*, slot_broker::*, units};
+
+const LIMITS: BrokerLimits = BrokerLimits {
+    adapter_slots: 3,
+    parallel_loads: 2,
+    batch_slots: 4,
+    unstarted: 3,
+};
+const INCARNATION: u64 = 7;
+
+fn at(millis: u64) -> units::Timestamp {
+    units::Timestamp(millis * 1000)
+}
+
+fn report(started: &[&str]) -> EngineStatus {
+    let started = started.iter().map(|request| StartedRequest {
+        request: (*request).to_owned(),
+        tokens: 10,
+    });
+    EngineStatus {
+        incarnation: INCARNATION,
+        model: ModelState::Loaded,
+        started: started.collect(),
+        ..EngineStatus::default()
+    }
+}
+
+fn request(number: u64, parts: &[u64]) -> PermitRequest {
+    let due = at(0) + time::Duration::from_secs(4);
+    PermitRequest {
+        id: PermitId { entry: 1, number },
+        adapter: None,
+        request: format!("request-{number}"),
+        priority: 1,
+        prompt_parts: parts.to_vec(),
+        prompt_tokens: 100,
+        output_tokens: 10,
+        objective: due,
+        start_deadline: due,
+        deadline: due,
+    }
+}
+
+fn broker_with_permits(prompts: &[&[u64]]) -> SlotBroker {
+    let mut broker = SlotBroker::new(LIMITS);
+    broker.observe(&report(&[]), at(0));
+    for (number, parts) in (0..).zip(prompts) {
+        let outcome = broker.request_permit(request(number, parts), at(1));
+        assert!(matches!(outcome, Some(PermitOutcome::Granted { .. })));
+    }
+    broker
+}
+
+fn suspects(crash: Option<&EngineCrash>) -> Vec<(u64, u8)> {
+    let suspects = crash.unwrap().suspects.iter();
+    suspects
+        .map(|suspect| (suspect.part, suspect.position))
+        .collect()
+}
+
+// Guards against suspecting requests that had started, and against missing those whose entries
+// noticed the crash before the broker.
+#[test]
+fn requests_about_to_start_are_suspects_of_a_crash() {
+    let mut broker = broker_with_permits(&[&[1, 2], &[1, 3], &[4]]);
+    broker.observe(&report(&["request-0"]), at(10));
+    broker.release(
+        PermitId {
+            entry: 1,
+            number: 2,
+        },
+        at(15),
+    );
+    assert_eq!(
+        suspects(broker.record_crash(at(20))),
+        [(1, 0), (3, 1), (4, 0)]
+    );
+    assert!(broker.record_crash(at(40)).is_none());
+}
+
+// Guards against old withdrawals among the suspects.
+#[test]
+fn withdrawn_request_is_a_suspect_only_for_a_short_time() {
+    let mut broker = broker_with_permits(&[&[1]]);
+    broker.release(
+        PermitId {
+            entry: 1,
+            number: 0,
+        },
+        at(10),
+    );
+    assert_eq!(suspects(broker.record_crash(at(900))), []);
+}
+
+// Guards against a crash that is counted although the engine only refused a connection.
+#[test]
+fn crash_of_an_engine_that_still_reports_is_retracted() {
+    let mut broker = broker_with_permits(&[&[1]]);
+    assert!(broker.record_crash(at(20)).is_some());
+    broker.observe(&report(&[]), at(40));
+    assert!(broker.record_crash(at(60)).is_some());
+}
--- a/crates/decisions/tests/model_load.rs
+++ b/crates/decisions/tests/model_load.rs
@@ -54,6 +54,7 @@
         }),
         request: format!("request-{number}"),
         priority: 1,
+        prompt_parts: Vec::new(),
         prompt_tokens: 2_000,
         output_tokens: 20,
         objective: at(received_ms + 900),
--- a/crates/decisions/tests/slot_broker.rs
+++ b/crates/decisions/tests/slot_broker.rs
@@ -41,6 +41,7 @@
         }),
         request: format!("request-{number}"),
         priority: 1,
+        prompt_parts: Vec::new(),
         prompt_tokens: 2000,
         output_tokens: 10,
         objective: at(800),
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -117,6 +117,21 @@
         Some((&generation.model, generation.adapter.as_deref()?))
     }
 
+    /// Parts of the prompt that other requests may share, in order.
+    #[must_use]
+    pub fn prompt_parts(&self) -> &[u64] {
+        let generation = self.request.generation.as_ref();
+        generation.map_or(&[], |generation| &generation.prompt_parts)
+    }
+
+    /// Prompt parts for the log, in hexadecimal.
+    #[must_use]
+    pub fn prompt_parts_text(&self) -> Option<String> {
+        let parts = self.prompt_parts().iter().map(|part| format!("{part:x}"));
+        let text = parts.collect::<Vec<_>>().join(" ");
+        (!text.is_empty()).then_some(text)
+    }
+
     /// Whether the response is an event stream.
     #[must_use]
     pub fn is_stream(&self) -> bool {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -10,6 +10,8 @@
 pub struct GenerationRequest {
     pub model: String,
     pub adapter: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<u64>,
     pub prompt_tokens: u32,
     pub max_output_tokens: u32,
     /// Caller's estimate of the response length, often wrong.
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -45,7 +45,7 @@
             "request" => &plan.request.id, "route" => &plan.route.name,
             "configuration" => plan.configuration, "replica" => &replica.id,
             "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
-            "adapter_version" => version, "is_long" => plan.is_long,
+            "adapter_version" => version, "prompt_parts" => plan.prompt_parts_text(), "is_long" => plan.is_long,
             "expected_ms" => millis(replica.expected_wait),
             "view_age_ms" => replica.view_age.map(millis),
             "left_ms" => millis(plan.time_left()));
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -61,6 +61,7 @@
     RECORD_UNREADABLE = 416, "record_unreadable";
     MODEL_ORDERED = 417, "model_ordered";
     PLACE_REFUSED = 418, "place_refused";
+    ENGINE_CRASHED = 419, "engine_crashed";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
