Keep prompt parts that crash engines from the engines

What callers saw: requests of one kind ended engine after engine; a third of the sound requests beside them were served.

Cause: a request that crashes its engine was treated like any lost connection: gateway and caller repeat it at the next engine, and no process sees enough crashes to notice what they have in common. The class of fault is a poisonous request whose retries spread it.

Change: a broker reports each crash of its engine with the prompt parts that the engine was about to start or had just started. Gateways join the reports of all brokers and attribute each crash to one part: one suspected in three separate crashes with no sound start since. Starts seen by any gateway clear a part through the brokers, so that parts which sound requests share with the cause are not blamed. Requests with a blocked part are refused at once as not run, with the time of the next trial; one request tries the part after a minute, then less often.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -128,6 +128,7 @@
         entry: u64,
         engine: message::EngineSpec,
         known_adapters: Option<u64>,
+        cleared: Vec<message::ClearedSuspects>,
         now: units::Timestamp,
     ) -> Result<message::EngineView, CallError> {
         let connection = self.connect(now).await?;
@@ -137,6 +138,7 @@
             engine,
             released: released.clone(),
             known_adapters,
+            cleared,
         };
         let view = connection
             .heartbeat(service::deadline(RESPONSE_MARGIN), call)
--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -119,9 +119,20 @@
             backlog: self.broker.backlog(now),
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
+            crashes: self.crashes(now),
         }
     }
 
+    fn crashes(&self, now: units::Timestamp) -> Vec<message::CrashReport> {
+        let crashes = self.broker.crashes().iter();
+        let crashes = crashes.map(|crash| message::CrashReport {
+            incarnation: crash.incarnation,
+            age: now.since(crash.at),
+            suspects: crash.suspects.clone(),
+        });
+        crashes.collect()
+    }
+
     fn adapters(&self) -> message::EngineAdapters {
         let loaded = self.broker.loaded();
         message::EngineAdapters {
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use decisions::permits;
+use decisions::{crash_log, permits, prompt_quarantine};
 use serde::{Deserialize, Serialize};
 
 /// Id and incarnation of an engine, as listed in the store.
@@ -113,6 +113,24 @@
     pub recent: Vec<String>,
 }
 
+/// Crash of the engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// Incarnation that crashed.
+    pub incarnation: u64,
+    pub age: time::Duration,
+    /// Parts of the prompts that the engine was about to start.
+    pub suspects: Vec<crash_log::SuspectPart>,
+}
+
+/// Suspects of a crash that have started at other engines since.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClearedSuspects {
+    /// Incarnation that crashed.
+    pub incarnation: u64,
+    pub parts: Vec<u64>,
+}
+
 /// State of an engine, with its active permits.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineView {
@@ -130,6 +148,8 @@
     pub running: u32,
     /// Entries that use this broker.
     pub entries: u32,
+    /// Recent crashes, which all entries need in order to find their cause.
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Reply to a request for a permit.
@@ -147,6 +167,17 @@
     pub released: Vec<u64>,
     /// Hash of the engine's adapters that the entry knows.
     pub known_adapters: Option<u64>,
+    /// Suspects of the engine's crashes that the entry knows to be sound.
+    pub cleared: Vec<ClearedSuspects>,
+}
+
+impl From<prompt_quarantine::ClearedSuspects> for ClearedSuspects {
+    fn from(cleared: prompt_quarantine::ClearedSuspects) -> Self {
+        Self {
+            incarnation: cleared.incarnation,
+            parts: cleared.parts,
+        }
+    }
 }
 
 impl RefusalReason {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -335,6 +335,11 @@
         state.broker.entry_seen(call.entry, now);
         self.update_spec(&mut state, &call.engine);
         state.release(call.entry, &call.released, now);
+        for cleared in &call.cleared {
+            state
+                .broker
+                .clear_suspects(cleared.incarnation, &cleared.parts);
+        }
         state.view(call.known_adapters, now)
     }
 }
--- a/crates/decisions/src/crash_log.rs
+++ b/crates/decisions/src/crash_log.rs
@@ -1,11 +1,13 @@
 //! Crashes of one engine, with the prompt parts that may have caused them.
 //!
 //! An input that crashes an engine does so when the engine starts to generate from it. The parts of
-//! the prompts that the engine was about to start are therefore the suspects of a crash; requests
-//! that had emitted events are not.
+//! the prompts that the engine was about to start, or had just started, are therefore the suspects
+//! of a crash; requests that had run for longer are not.
 
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
 use crate::units;
 
 /// Time for which a withdrawn request still counts as one that the engine was about to start.
@@ -17,7 +19,7 @@
 const MAX_SUSPECTS: usize = 64;
 
 /// Prompt part of a request that an engine was about to start when it crashed.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SuspectPart {
     pub part: u64,
     /// Position in the prompt, from 0.
@@ -44,6 +46,42 @@
     at: units::Timestamp,
 }
 
+impl EngineCrash {
+    /// Suspect with a part.
+    #[must_use]
+    pub fn suspect(&self, part: u64) -> Option<&SuspectPart> {
+        let position = self.find(part)?;
+        Some(&self.suspects[position])
+    }
+
+    /// Whether a part is suspected and not cleared.
+    #[must_use]
+    pub fn suspects_part(&self, part: u64) -> bool {
+        self.suspect(part)
+            .is_some_and(|suspect| !suspect.is_cleared)
+    }
+
+    /// Clears suspects, because requests with their parts have started since; false if none was
+    /// suspected.
+    pub fn clear(&mut self, parts: &[u64]) -> bool {
+        let mut is_changed = false;
+        for part in parts {
+            if let Some(position) = self.find(*part) {
+                is_changed |= !self.suspects[position].is_cleared;
+                self.suspects[position].is_cleared = true;
+            }
+        }
+        is_changed
+    }
+
+    fn find(&self, part: u64) -> Option<usize> {
+        let found = self
+            .suspects
+            .binary_search_by_key(&part, |suspect| suspect.part);
+        found.ok()
+    }
+}
+
 /// Crashes of one engine.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLog {
@@ -62,12 +100,12 @@
         }
     }
 
-    /// Records a crash with the prompts that had not started. Returns it unless it is known or the
+    /// Records a crash with the prompts of the requests that may have caused it. Returns it unless it is known or the
     /// incarnation is not.
     pub fn record_crash<'a>(
         &mut self,
         incarnation: u64,
-        unstarted: impl Iterator<Item = &'a [u64]>,
+        prompts: impl Iterator<Item = &'a [u64]>,
         now: units::Timestamp,
     ) -> Option<&EngineCrash> {
         let is_known = self
@@ -77,7 +115,7 @@
         if incarnation == 0 || is_known {
             return None;
         }
-        let mut suspects: Vec<SuspectPart> = unstarted.flat_map(suspect_parts).collect();
+        let mut suspects: Vec<SuspectPart> = prompts.flat_map(suspect_parts).collect();
         for prompt in std::mem::take(&mut self.withdrawn) {
             if now.since(prompt.at) < WITHDRAWAL_PERIOD {
                 suspects.extend(suspect_parts(&prompt.parts));
@@ -97,10 +135,29 @@
         self.crashes.last()
     }
 
-    /// Drops the crash of an incarnation that has reported since.
+    /// Clears all suspects of an incarnation that has reported since, because it did not crash.
     pub fn retract(&mut self, incarnation: u64) {
-        self.crashes
-            .retain(|crash| crash.incarnation != incarnation);
+        for crash in &mut self.crashes {
+            if crash.incarnation == incarnation {
+                for suspect in &mut crash.suspects {
+                    suspect.is_cleared = true;
+                }
+            }
+        }
+    }
+
+    /// Clears suspects of the crash of an incarnation.
+    pub fn clear(&mut self, incarnation: u64, parts: &[u64]) {
+        let mut crashes = self.crashes.iter_mut();
+        if let Some(crash) = crashes.find(|crash| crash.incarnation == incarnation) {
+            crash.clear(parts);
+        }
+    }
+
+    /// Crashes in order of time.
+    #[must_use]
+    pub fn crashes(&self) -> &[EngineCrash] {
+        &self.crashes
     }
 }
 
--- a/crates/decisions/src/permit_table.rs
+++ b/crates/decisions/src/permit_table.rs
@@ -13,6 +13,9 @@
 const ARRIVAL_TIME: time::Duration = time::Duration::from_millis(12);
 /// Time after which a request that the engine never reported has ended or will not arrive.
 const UNREPORTED_LIMIT: time::Duration = time::Duration::from_millis(250);
+/// Time for which a request counts as one that has just started. An engine reports a run before
+/// the first event has left it.
+const START_PERIOD: time::Duration = time::Duration::from_millis(150);
 /// Mean prompt length and mean hold time before the first measurements.
 const INITIAL_MEAN_TOKENS: f64 = 2_000.0;
 const INITIAL_HOLD_TIME: time::Duration = time::Duration::from_millis(700);
@@ -30,8 +33,17 @@
     request: String,
     prompt_tokens: u32,
     granted_at: units::Timestamp,
-    /// The engine has reported an event of the request.
-    pub has_started: bool,
+    /// Time of the first report that the engine runs the request.
+    started_at: Option<units::Timestamp>,
+}
+
+impl ActivePermit {
+    /// Whether the request has not started or has just done so.
+    #[must_use]
+    pub fn is_starting(&self, now: units::Timestamp) -> bool {
+        let started_at = self.started_at;
+        started_at.is_none_or(|started_at| now.since(started_at) < START_PERIOD)
+    }
 }
 
 /// Changes to the permits that a report shows.
@@ -80,7 +92,7 @@
             request: request.request.clone(),
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
-            has_started: false,
+            started_at: None,
         };
         if let Err(position) = self.find(request.id) {
             self.permits.insert(position, permit);
@@ -115,11 +127,11 @@
         let mut ended = Vec::new();
         for permit in &mut self.permits {
             let is_reported = started.binary_search(&permit.request.as_str()).is_ok();
-            if is_reported && !permit.has_started {
-                permit.has_started = true;
+            if is_reported && permit.started_at.is_none() {
+                permit.started_at = Some(now);
                 progress.prefilled_tokens += u64::from(permit.prompt_tokens);
             } else if is_ended(permit, is_reported, report, now) {
-                if !permit.has_started {
+                if permit.started_at.is_none() {
                     progress.prefilled_tokens += u64::from(permit.prompt_tokens);
                 }
                 ended.push(permit.id);
@@ -143,10 +155,13 @@
         self.reported.saturating_add(in_transit)
     }
 
-    /// Parts of the prompts of the requests that have not started, one item for each request.
-    pub fn unstarted_prompts(&self) -> impl Iterator<Item = &[u64]> {
-        let unstarted = self.permits.iter().filter(|permit| !permit.has_started);
-        unstarted.map(|permit| permit.prompt_parts.as_slice())
+    /// Parts of the prompts of the requests that have not run for long, one item for each request.
+    pub fn starting_prompts(&self, now: units::Timestamp) -> impl Iterator<Item = &[u64]> {
+        let starting = self
+            .permits
+            .iter()
+            .filter(move |permit| permit.is_starting(now));
+        starting.map(|permit| permit.prompt_parts.as_slice())
     }
 
     /// Prompt tokens of the requests that have not started.
@@ -155,7 +170,7 @@
         let mut permits: Vec<&ActivePermit> = self
             .permits
             .iter()
-            .filter(|permit| !permit.has_started)
+            .filter(|permit| permit.started_at.is_none())
             .collect();
         permits.sort_unstable_by_key(|permit| std::cmp::Reverse(permit.granted_at));
         let unstarted = self.unstarted();
@@ -216,7 +231,7 @@
 
     /// Whether the newest report may have been made while the request was in transit to the engine.
     fn is_in_transit(&self, permit: &ActivePermit) -> bool {
-        !permit.has_started && permit.granted_at + ARRIVAL_TIME > self.reported_at
+        permit.started_at.is_none() && permit.granted_at + ARRIVAL_TIME > self.reported_at
     }
 
     fn record_hold_time(&mut self, permit: &ActivePermit, now: units::Timestamp) {
@@ -239,7 +254,7 @@
     if is_reported {
         return false;
     }
-    if permit.has_started {
+    if permit.started_at.is_some() {
         // An engine short of memory requeues started requests and reports them again later.
         return !report.is_memory_short;
     }
--- /dev/null
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -0,0 +1,372 @@
+//! Quarantine of prompt parts that crash engines.
+//!
+//! A request that crashes its engine is repeated by its entry and its caller, so that one prompt part
+//! can end engine after engine. Each broker reports the crashes of its engine with the parts of the
+//! prompts that the engine was about to start. From the reports of all brokers an entry works out
+//! which part has caused the crashes, and refuses requests with it.
+//!
+//! A part is blocked when it was suspected in several crashes and no request with it has started
+//! since. Parts that requests share with the cause are suspected as often, but start soundly at other
+//! engines: one such start, seen by any entry, clears a part of the crashes before it. Each crash is
+//! attributed to one part only. An entry that sees few requests waits until other starts, or the
+//! reports of other entries, show that a common part would have started by now.
+//!
+//! A blocked part is tried again with a single request after a time that doubles with each crash.
+//! If the request starts, the part is cleared everywhere.
+
+use std::{cmp, net, time};
+
+use crate::{crash_log, part_starts, units};
+
+/// Separate crashes after which a part is blocked.
+const MIN_CRASHES: usize = 3;
+/// Crashes within this time of one another count once, because a common failure, such as the loss
+/// of a rack, ends several engines at the same moment.
+const CRASH_WINDOW: time::Duration = time::Duration::from_millis(200);
+/// Starts without a part after which the entry would have seen one with it if it was sound.
+const MIN_OTHER_STARTS: u64 = 32;
+/// Starts without a part that suffice when other entries had time to report one with it.
+const MIN_SETTLED_STARTS: u64 = 4;
+/// Time in which starts seen by other entries are reported by the brokers.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(1500);
+/// Time for which a crash counts.
+const CRASH_MEMORY: time::Duration = time::Duration::from_hours(1);
+/// Maximum number of crashes that are kept; the oldest yields.
+const MAX_CRASHES: usize = 512;
+/// Minimum time between two evaluations without new evidence.
+const EVALUATION_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time from the newest crash or trial to the next trial, with the fewest crashes.
+const TRIAL_DELAY: time::Duration = time::Duration::from_mins(1);
+/// Maximum number of times that the delay doubles.
+const MAX_DOUBLINGS: u32 = 4;
+/// Mean time between the trials of two entries, so that the result of the first one is known.
+const TRIAL_SPACING: time::Duration = time::Duration::from_secs(2);
+
+/// Crash of an engine that a broker has reported.
+#[derive(Clone, Debug)]
+struct ReportedCrash {
+    broker: net::SocketAddr,
+    crash: crash_log::EngineCrash,
+}
+
+/// Prompt part that is kept from engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BlockedPart {
+    pub part: u64,
+    /// Separate crashes that are attributed to the part.
+    pub crashes: usize,
+    last_crash: units::Timestamp,
+    last_trial: Option<units::Timestamp>,
+}
+
+/// Whether a request may be sent to an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PromptAdmission {
+    Allowed,
+    /// It may be sent once, to find out whether its blocked part is sound.
+    Trial,
+    /// It has a blocked part, which is tried again after that time.
+    Blocked {
+        retry_after: time::Duration,
+    },
+}
+
+/// Change of the blocked parts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineChange {
+    Blocked { part: u64, crashes: usize },
+    Lifted { part: u64 },
+}
+
+/// Suspects of one crash that have started since.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClearedSuspects {
+    /// Incarnation that crashed.
+    pub incarnation: u64,
+    pub parts: Vec<u64>,
+}
+
+/// Blocked prompt parts of one entry, with the evidence.
+#[derive(Clone, Debug, Default)]
+pub struct PromptQuarantine {
+    /// Position of this entry's trials among those of all entries, from 0 to 1.
+    trial_position: f64,
+    starts: part_starts::PartStarts,
+    /// Sorted by broker and incarnation.
+    crashes: Vec<ReportedCrash>,
+    /// Sorted by part.
+    blocked: Vec<BlockedPart>,
+    evaluated_at: units::Timestamp,
+}
+
+impl PromptQuarantine {
+    /// Quarantine without evidence. `trial_position` is from 0 to 1 and differs between entries.
+    #[must_use]
+    pub fn new(trial_position: f64) -> Self {
+        Self {
+            trial_position,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a request with the parts may be sent, while `entries` entries are active.
+    pub fn admit(&mut self, parts: &[u64], entries: u32, now: units::Timestamp) -> PromptAdmission {
+        let delay = TRIAL_SPACING.mul_f64(f64::from(entries) * self.trial_position);
+        let blocked = self.blocked.iter_mut();
+        let mut blocked: Vec<&mut BlockedPart> = blocked
+            .filter(|blocked| parts.contains(&blocked.part))
+            .collect();
+        let due_times = blocked.iter().map(|blocked| blocked.next_trial() + delay);
+        let Some(due) = due_times.max() else {
+            return PromptAdmission::Allowed;
+        };
+        if now < due {
+            let retry_after = due.since(now);
+            return PromptAdmission::Blocked { retry_after };
+        }
+        for blocked in &mut blocked {
+            blocked.last_trial = Some(now);
+        }
+        PromptAdmission::Trial
+    }
+
+    /// Records that a request with the parts has brought events.
+    pub fn record_start(&mut self, parts: &[u64], now: units::Timestamp) -> Vec<QuarantineChange> {
+        if parts.is_empty() {
+            return Vec::new();
+        }
+        self.starts.record(parts, now);
+        let mut is_changed = false;
+        for reported in &mut self.crashes {
+            if now > reported.crash.at {
+                is_changed |= reported.crash.clear(parts);
+            }
+        }
+        if is_changed {
+            self.evaluate(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Records the crashes that a broker reports of its engine.
+    pub fn record_crashes(
+        &mut self,
+        broker: net::SocketAddr,
+        crashes: Vec<crash_log::EngineCrash>,
+        now: units::Timestamp,
+    ) -> Vec<QuarantineChange> {
+        let mut is_changed = false;
+        for crash in crashes {
+            is_changed |= self.record_crash(broker, crash);
+        }
+        let is_due = now.since(self.evaluated_at) >= EVALUATION_INTERVAL;
+        if is_changed || (is_due && !self.crashes.is_empty()) {
+            self.evaluate(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Suspects of the crashes that a broker reports which are known to have started since.
+    #[must_use]
+    pub fn cleared_suspects(&self, broker: net::SocketAddr) -> Vec<ClearedSuspects> {
+        let crashes = self
+            .crashes
+            .iter()
+            .filter(|reported| reported.broker == broker);
+        let cleared = crashes.map(|reported| {
+            let suspects = reported.crash.suspects.iter();
+            let cleared = suspects.filter(|suspect| suspect.is_cleared);
+            ClearedSuspects {
+                incarnation: reported.crash.incarnation,
+                parts: cleared.map(|suspect| suspect.part).collect(),
+            }
+        });
+        cleared
+            .filter(|cleared| !cleared.parts.is_empty())
+            .collect()
+    }
+
+    /// Blocked parts, sorted by part.
+    #[must_use]
+    pub fn blocked(&self) -> &[BlockedPart] {
+        &self.blocked
+    }
+
+    /// Adds a crash or what is new about it; false if nothing is.
+    fn record_crash(&mut self, broker: net::SocketAddr, mut crash: crash_log::EngineCrash) -> bool {
+        let key = (broker, crash.incarnation);
+        let found = self.crashes.binary_search_by_key(&key, |reported| {
+            (reported.broker, reported.crash.incarnation)
+        });
+        match found {
+            Ok(position) => {
+                let suspects = crash.suspects.iter().filter(|suspect| suspect.is_cleared);
+                let cleared: Vec<u64> = suspects.map(|suspect| suspect.part).collect();
+                self.crashes[position].crash.clear(&cleared)
+            }
+            Err(position) => {
+                let suspects = crash.suspects.iter().map(|suspect| suspect.part);
+                let started =
+                    suspects.filter(|part| self.starts.last_start(*part) > Some(crash.at));
+                let started: Vec<u64> = started.collect();
+                crash.clear(&started);
+                self.crashes
+                    .insert(position, ReportedCrash { broker, crash });
+                self.drop_excess();
+                true
+            }
+        }
+    }
+
+    fn drop_excess(&mut self) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let positions = 0..self.crashes.len();
+        if let Some(oldest) = positions.min_by_key(|position| self.crashes[*position].crash.at) {
+            self.crashes.remove(oldest);
+        }
+    }
+
+    /// Attributes the crashes to parts and replaces the blocked parts by those found.
+    fn evaluate(&mut self, now: units::Timestamp) -> Vec<QuarantineChange> {
+        self.evaluated_at = now;
+        self.crashes
+            .retain(|reported| now.since(reported.crash.at) < CRASH_MEMORY);
+        let earlier = std::mem::take(&mut self.blocked);
+        let mut unexplained: Vec<&crash_log::EngineCrash> = self
+            .crashes
+            .iter()
+            .map(|reported| &reported.crash)
+            .collect();
+        let mut blocked = Vec::new();
+        // A part that is blocked already explains its crashes before a newly suspected one does.
+        for known in &earlier {
+            let evidence = PartEvidence::new(known.part, &unexplained);
+            if evidence.crashes >= MIN_CRASHES {
+                unexplained.retain(|crash| !crash.suspects_part(known.part));
+                blocked.push(evidence.into_blocked(known.last_trial));
+            }
+        }
+        while let Some(evidence) = self.likeliest_cause(&unexplained, now) {
+            unexplained.retain(|crash| !crash.suspects_part(evidence.part));
+            blocked.push(evidence.into_blocked(None));
+        }
+        blocked.sort_unstable_by_key(|blocked| blocked.part);
+        self.blocked = blocked;
+        changes(&earlier, &self.blocked)
+    }
+
+    /// Part that explains most crashes. Among equals, the one that has not started for longest, then
+    /// the later one in the prompt, which fewer requests have.
+    fn likeliest_cause(
+        &self,
+        crashes: &[&crash_log::EngineCrash],
+        now: units::Timestamp,
+    ) -> Option<PartEvidence> {
+        let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
+        let uncleared = suspects.filter(|suspect| !suspect.is_cleared);
+        let mut parts: Vec<u64> = uncleared.map(|suspect| suspect.part).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let evidence = parts
+            .into_iter()
+            .map(|part| PartEvidence::new(part, crashes));
+        let sufficient = evidence.filter(|evidence| self.is_sufficient(evidence, now));
+        sufficient.max_by_key(|evidence| {
+            let last_start = self.starts.last_start(evidence.part);
+            (
+                evidence.crashes,
+                cmp::Reverse(last_start),
+                evidence.position,
+            )
+        })
+    }
+
+    /// Whether a sound part would have started by now.
+    fn is_sufficient(&self, evidence: &PartEvidence, now: units::Timestamp) -> bool {
+        let others = self.starts.starts_since(evidence.part);
+        let is_settled = now.since(evidence.proven_at) >= SETTLE_TIME;
+        evidence.crashes >= MIN_CRASHES
+            && (others >= MIN_OTHER_STARTS || (is_settled && others >= MIN_SETTLED_STARTS))
+    }
+}
+
+/// Crashes that may be attributed to a part.
+struct PartEvidence {
+    part: u64,
+    position: u8,
+    /// Separate crashes.
+    crashes: usize,
+    /// Time of the crash that made them enough.
+    proven_at: units::Timestamp,
+    last_crash: units::Timestamp,
+}
+
+impl PartEvidence {
+    fn new(part: u64, crashes: &[&crash_log::EngineCrash]) -> Self {
+        let mut times = Vec::new();
+        let mut position = 0;
+        for crash in crashes {
+            if let Some(suspect) = crash.suspect(part)
+                && !suspect.is_cleared
+            {
+                times.push(crash.at);
+                position = position.max(suspect.position);
+            }
+        }
+        times.sort_unstable();
+        let last_crash = times.last().copied().unwrap_or_default();
+        times.dedup_by(|later, earlier| later.since(*earlier) < CRASH_WINDOW);
+        Self {
+            part,
+            position,
+            crashes: times.len(),
+            proven_at: times.get(MIN_CRASHES - 1).copied().unwrap_or_default(),
+            last_crash,
+        }
+    }
+
+    fn into_blocked(self, last_trial: Option<units::Timestamp>) -> BlockedPart {
+        BlockedPart {
+            part: self.part,
+            crashes: self.crashes,
+            last_crash: self.last_crash,
+            last_trial,
+        }
+    }
+}
+
+impl BlockedPart {
+    /// Earliest time of the next trial.
+    fn next_trial(&self) -> units::Timestamp {
+        let extra = u32::try_from(self.crashes.saturating_sub(MIN_CRASHES)).unwrap_or(u32::MAX);
+        let delay = TRIAL_DELAY * 2_u32.pow(extra.min(MAX_DOUBLINGS));
+        let newest = self
+            .last_trial
+            .map_or(self.last_crash, |trial| trial.max(self.last_crash));
+        newest + delay
+    }
+}
+
+fn changes(earlier: &[BlockedPart], blocked: &[BlockedPart]) -> Vec<QuarantineChange> {
+    let contains = |parts: &[BlockedPart], part: u64| {
+        parts
+            .binary_search_by_key(&part, |blocked| blocked.part)
+            .is_ok()
+    };
+    let added = blocked
+        .iter()
+        .filter(|new| !contains(earlier, new.part))
+        .map(|new| QuarantineChange::Blocked {
+            part: new.part,
+            crashes: new.crashes,
+        });
+    let lifted = earlier
+        .iter()
+        .filter(|old| !contains(blocked, old.part))
+        .map(|old| QuarantineChange::Lifted { part: old.part });
+    added.chain(lifted).collect()
+}
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -152,7 +152,7 @@
         self.waiting.retain(|request| request.id != id);
         if let Some(permit) = self.permits.remove(id, now) {
             self.unpin_adapter(&permit, now);
-            if !permit.has_started {
+            if permit.is_starting(now) {
                 self.crashes.record_withdrawal(permit.prompt_parts, now);
             }
         }
@@ -161,8 +161,20 @@
     /// Records that nothing listens at the engine's address any more; returns the crash when it is
     /// first seen.
     pub fn record_crash(&mut self, now: units::Timestamp) -> Option<&crash_log::EngineCrash> {
-        let unstarted = self.permits.unstarted_prompts();
-        self.crashes.record_crash(self.incarnation, unstarted, now)
+        let prompts = self.permits.starting_prompts(now);
+        self.crashes.record_crash(self.incarnation, prompts, now)
+    }
+
+    /// Clears suspects of the engine's crashes, because requests with their parts have started at
+    /// other engines since.
+    pub fn clear_suspects(&mut self, incarnation: u64, parts: &[u64]) {
+        self.crashes.clear(incarnation, parts);
+    }
+
+    /// Crashes of the engine, in order of time.
+    #[must_use]
+    pub fn crashes(&self) -> &[crash_log::EngineCrash] {
+        self.crashes.crashes()
     }
 
     /// Applies the engine's report and returns the outcomes that it leads to.
--- /dev/null
+++ b/crates/decisions/tests/prompt_quarantine.rs
@@ -0,0 +1,177 @@
+//! Attribution of crashes to prompt parts, on simulated fleets without a network.
+
+use std::{net, time};
+
+use decisions::{crash_log::*, prompt_quarantine::*, units};
+
+const FIRST: u64 = 1;
+const SECOND: u64 = 2;
+const CAUSE: u64 = 3;
+/// Prompt of the requests that crash engines; sound requests share its first two parts.
+const CRASHING_PROMPT: [u64; 3] = [FIRST, SECOND, CAUSE];
+const ENTRIES: u32 = 5;
+
+fn at(millis: u64) -> units::Timestamp {
+    units::Timestamp(millis * 1000)
+}
+
+fn broker(number: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn crash(incarnation: u64, millis: u64, parts: &[u64]) -> EngineCrash {
+    let mut suspects: Vec<SuspectPart> = (0..)
+        .zip(parts)
+        .map(|(position, part)| SuspectPart {
+            part: *part,
+            position,
+            is_cleared: false,
+        })
+        .collect();
+    suspects.sort_unstable();
+    EngineCrash {
+        incarnation,
+        at: at(millis),
+        suspects,
+    }
+}
+
+/// Quarantine of an entry that has served sound requests.
+fn busy_quarantine() -> PromptQuarantine {
+    let mut quarantine = PromptQuarantine::new(0.0);
+    for number in 0..100 {
+        quarantine.record_start(&[FIRST, SECOND], at(number));
+        quarantine.record_start(&[FIRST + 100], at(number));
+    }
+    quarantine
+}
+
+fn blocked_parts(quarantine: &PromptQuarantine) -> Vec<u64> {
+    let blocked = quarantine.blocked().iter();
+    blocked.map(|blocked| blocked.part).collect()
+}
+
+/// Reports crashes of different engines under the crashing prompt, half a second apart.
+fn report_crashes(quarantine: &mut PromptQuarantine, count: u8) -> u64 {
+    let mut millis = 0;
+    for number in 0..count {
+        millis = 1000 + 500 * u64::from(number);
+        let crash = crash(7, millis, &CRASHING_PROMPT);
+        quarantine.record_crashes(broker(number), vec![crash], at(millis + 100));
+    }
+    millis + 100
+}
+
+// Guards against blocking a part that sound requests share with the cause.
+#[test]
+fn only_the_part_that_never_starts_is_blocked() {
+    let mut quarantine = busy_quarantine();
+    let now = report_crashes(&mut quarantine, 3);
+    assert_eq!(blocked_parts(&quarantine), [CAUSE]);
+    let admission = quarantine.admit(&[FIRST, SECOND], ENTRIES, at(now));
+    assert_eq!(admission, PromptAdmission::Allowed);
+    let admission = quarantine.admit(&CRASHING_PROMPT, ENTRIES, at(now));
+    assert!(matches!(admission, PromptAdmission::Blocked { .. }));
+}
+
+// Guards against a verdict on one or two crashes, which have many causes.
+#[test]
+fn two_crashes_block_nothing() {
+    let mut quarantine = busy_quarantine();
+    report_crashes(&mut quarantine, 2);
+    assert_eq!(blocked_parts(&quarantine), []);
+}
+
+// Guards against blocking a common part when a rack or a data centre is lost.
+#[test]
+fn simultaneous_crashes_count_once() {
+    let mut quarantine = busy_quarantine();
+    for number in 0..20 {
+        let crash = crash(7, 1000 + 3 * u64::from(number), &[FIRST, SECOND]);
+        quarantine.record_crashes(broker(number), vec![crash], at(1400));
+    }
+    for number in 0..50 {
+        quarantine.record_start(&[FIRST + 100], at(1500 + number));
+    }
+    quarantine.record_crashes(broker(0), Vec::new(), at(4000));
+    assert_eq!(blocked_parts(&quarantine), []);
+}
+
+// Guards against an entry that has just started and takes every part for one that never starts.
+#[test]
+fn new_entry_waits_for_starts_before_a_verdict() {
+    let mut quarantine = PromptQuarantine::new(0.0);
+    let now = report_crashes(&mut quarantine, 4);
+    assert_eq!(blocked_parts(&quarantine), []);
+    for number in 0..4 {
+        quarantine.record_start(&[FIRST, SECOND], at(now + number));
+    }
+    quarantine.record_crashes(broker(0), Vec::new(), at(now + 1600));
+    assert_eq!(blocked_parts(&quarantine), [CAUSE]);
+}
+
+// Guards against a wrong verdict that stays although another entry sees the part start.
+#[test]
+fn start_at_another_entry_lifts_a_verdict() {
+    let mut quarantine = busy_quarantine();
+    let now = report_crashes(&mut quarantine, 3);
+    let mut observer = busy_quarantine();
+    report_crashes(&mut observer, 3);
+    observer.record_start(&CRASHING_PROMPT, at(now));
+    assert_eq!(blocked_parts(&observer), []);
+    for number in 0..3 {
+        let mut reported = crash(7, 1000 + 500 * u64::from(number), &CRASHING_PROMPT);
+        for cleared in observer.cleared_suspects(broker(number)) {
+            assert_eq!(cleared.incarnation, 7);
+            reported.clear(&cleared.parts);
+        }
+        quarantine.record_crashes(broker(number), vec![reported], at(now + 500));
+    }
+    assert_eq!(blocked_parts(&quarantine), []);
+}
+
+// Guards against a verdict that is never checked, and against trials that crash engine after engine.
+#[test]
+fn blocked_part_is_tried_once_and_then_less_often() {
+    let mut quarantine = busy_quarantine();
+    let now = at(report_crashes(&mut quarantine, 3));
+    let PromptAdmission::Blocked { retry_after } = quarantine.admit(&CRASHING_PROMPT, ENTRIES, now)
+    else {
+        panic!("the part is not blocked");
+    };
+    let due = now + retry_after;
+    let trial = quarantine.admit(&CRASHING_PROMPT, ENTRIES, due);
+    assert_eq!(trial, PromptAdmission::Trial);
+    let second = quarantine.admit(&CRASHING_PROMPT, ENTRIES, due);
+    assert!(matches!(second, PromptAdmission::Blocked { .. }));
+    let failed = EngineCrash {
+        at: due,
+        ..crash(8, 0, &CRASHING_PROMPT)
+    };
+    quarantine.record_crashes(broker(9), vec![failed], due);
+    let PromptAdmission::Blocked { retry_after: later } =
+        quarantine.admit(&CRASHING_PROMPT, ENTRIES, due)
+    else {
+        panic!("the part is not blocked");
+    };
+    assert!(later >= retry_after + time::Duration::from_secs(30));
+}
+
+// Guards against callers that come back before the part can be tried again.
+#[test]
+fn trials_of_entries_are_spread() {
+    let mut early = busy_quarantine();
+    let mut late = PromptQuarantine::new(0.9);
+    for number in 0..100 {
+        late.record_start(&[FIRST, SECOND], at(number));
+    }
+    let now = at(report_crashes(&mut early, 3));
+    report_crashes(&mut late, 3);
+    let wait = |admission| match admission {
+        PromptAdmission::Blocked { retry_after } => retry_after,
+        other => panic!("{other:?}"),
+    };
+    let first = wait(early.admit(&CRASHING_PROMPT, ENTRIES, now));
+    let second = wait(late.admit(&CRASHING_PROMPT, ENTRIES, now));
+    assert!(second >= first + time::Duration::from_secs(5));
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -35,6 +35,10 @@
     pub connect_failures: usize,
     /// At least one attempt ran or may have run.
     pub may_have_run: bool,
+    /// An attempt has brought events, so that the prompt does not crash engines.
+    pub has_started: bool,
+    /// The request tries a blocked prompt part.
+    pub is_trial: bool,
 }
 
 impl AttemptFailure {
@@ -54,15 +58,24 @@
 impl AttemptHistory {
     /// History of a stream that is to be resumed at another replica.
     #[must_use]
-    pub fn resumed(replica: &str, sent_count: u32) -> Self {
+    pub fn resumed(replica: &str, sent_count: u32, has_started: bool) -> Self {
         Self {
             excluded: vec![replica.to_owned()],
             sent_count,
             connect_failures: 0,
             may_have_run: true,
+            has_started,
+            is_trial: false,
         }
     }
 
+    /// Whether the request tries a blocked prompt part and has not been sent yet. A trial is not
+    /// repeated, because it may crash a second engine.
+    #[must_use]
+    pub fn may_make_trial(&self) -> bool {
+        self.is_trial && self.sent_count == 0
+    }
+
     /// Excludes a replica from further attempts.
     pub fn exclude(&mut self, replica: &str) {
         self.excluded.push(replica.to_owned());
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use broker::message;
 use bytes::Bytes;
-use decisions::{response_length, retry_budget, units};
+use decisions::{prompt_quarantine, response_length, retry_budget, units};
 use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,7 +16,7 @@
 
 use crate::{
     attempts, buffers, catalog, connections, local_reply, metrics, placement, plan, protocol,
-    replica, replica_table, request_logger, responses, settings,
+    quarantine, replica, replica_table, request_logger, responses, settings,
 };
 
 /// Timeout of a new connection to a replica.
@@ -38,6 +38,7 @@
     pub replicas: Mutex<replica_table::ReplicaTable>,
     pub budget: Mutex<retry_budget::RetryBudget>,
     pub lengths: Mutex<response_length::ResponseLengths>,
+    pub quarantine: Mutex<prompt_quarantine::PromptQuarantine>,
     pub pool: connections::ConnectionPool,
     pub buffers: Arc<buffers::BufferBudget>,
     pub request_logger: request_logger::RequestLogger,
@@ -113,6 +114,7 @@
             wire,
             catalog: Mutex::default(),
             lengths: Mutex::default(),
+            quarantine: Mutex::new(quarantine::new(incarnation)),
             pool: connections::ConnectionPool::default(),
             request_logger: request_logger::RequestLogger::new(logger),
             metrics,
@@ -130,7 +132,11 @@
     }
 
     /// Records the state of an engine, as its broker reports it.
-    pub fn record_view(&self, replica: &str, view: message::EngineView) {
+    pub fn record_view(&self, replica: &str, mut view: message::EngineView) {
+        let crashes = std::mem::take(&mut view.crashes);
+        if !crashes.is_empty() {
+            self.record_crashes(replica, crashes);
+        }
         let is_current = self.replicas.lock().record_view(replica, view, self.now());
         if !is_current {
             self.request_replica_read();
@@ -175,6 +181,7 @@
                 }
                 Ok(open) => match self.read_response(plan, open).await {
                     Ok((replica, response)) => {
+                        self.record_start(plan);
                         return DispatchOutcome::Buffered { replica, response };
                     }
                     Err(failure) => failure,
@@ -205,11 +212,16 @@
         history: &mut attempts::AttemptHistory,
         resume_after: Option<u64>,
     ) -> Result<OpenAttempt, AttemptError> {
+        self.admit_prompt(plan, history)
+            .map_err(AttemptError::Refused)?;
         let placement::AssignedReplica {
             replica,
             permit,
             version,
         } = self.assign_replica(plan, history).await?;
+        // A part of its prompt may have been blocked while it waited for the permit.
+        self.admit_prompt(plan, history)
+            .map_err(AttemptError::Refused)?;
         self.replicas.lock().record_send(&replica.id);
         let guard = AttemptGuard {
             dispatcher: Arc::clone(self),
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -27,7 +27,13 @@
                     let now = dispatcher.now();
                     let view = replica
                         .broker
-                        .heartbeat(dispatcher.incarnation, spec, replica.adapters_hash, now)
+                        .heartbeat(
+                            dispatcher.incarnation,
+                            spec,
+                            replica.adapters_hash,
+                            dispatcher.cleared_suspects(replica.broker.address()),
+                            now,
+                        )
                         .await;
                     (replica.id, view)
                 }
@@ -74,7 +80,12 @@
                 let entry = dispatcher.incarnation;
                 // A failure is reported by the next heartbeat, which sends the same releases.
                 let known = replica.adapters_hash;
-                if let Ok(view) = replica.broker.heartbeat(entry, spec, known, now).await {
+                let cleared = dispatcher.cleared_suspects(replica.broker.address());
+                let view = replica
+                    .broker
+                    .heartbeat(entry, spec, known, cleared, now)
+                    .await;
+                if let Ok(view) = view {
                     dispatcher.record_view(&replica.id, view);
                 }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod plan;
 pub mod protocol;
+pub mod quarantine;
 pub mod relay;
 pub mod replica;
 pub mod replica_table;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     over_limit: Counter<u64>,
+    blocked_parts: Counter<u64>,
     response_times: Histogram<f64>,
     first_event_times: Histogram<f64>,
     permit_waits: Histogram<f64>,
@@ -33,6 +34,7 @@
             refusals: meter.u64_counter("gateway_refusals").build(),
             retries: meter.u64_counter("gateway_retries").build(),
             over_limit: meter.u64_counter("gateway_responses_over_limit").build(),
+            blocked_parts: meter.u64_counter("gateway_prompt_parts_blocked").build(),
             response_times: metrics::seconds_histogram(&meter, "gateway_answer_seconds"),
             first_event_times: metrics::seconds_histogram(&meter, "gateway_first_event_seconds"),
             permit_waits: metrics::seconds_histogram(&meter, "gateway_place_wait_seconds"),
@@ -60,6 +62,11 @@
         self.over_limit.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a prompt part that is kept from engines.
+    pub fn record_blocked_part(&self) {
+        self.blocked_parts.add(1, &[]);
+    }
+
     /// Records the time from a request to the end of its response.
     pub fn record_response(&self, elapsed: time::Duration) {
         self.response_times.record(elapsed.as_secs_f64(), &[]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,6 +26,8 @@
     /// Most recent event, or the start of the attempt.
     progressed_at: Instant,
     is_ended: bool,
+    /// A second event has shown that the engine survives the request.
+    is_proven: bool,
 }
 
 impl Drop for StreamRelay {
@@ -62,6 +64,7 @@
         last_event_at: None,
         progressed_at: Instant::now(),
         is_ended: false,
+        is_proven: false,
     };
     stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
@@ -161,6 +164,10 @@
                 .record_first_event(self.timing.first_event);
             return;
         };
+        if !self.is_proven {
+            self.is_proven = true;
+            self.dispatcher.record_start(&self.plan);
+        }
         let gap = now.saturating_duration_since(earlier);
         self.timing.longest_gap = self.timing.longest_gap.max(gap);
     }
@@ -196,7 +203,8 @@
         // Closes the connection before the stream is resumed elsewhere.
         drop(broken);
         self.splitter.discard_partial();
-        let mut history = attempts::AttemptHistory::resumed(&from, self.sent_count);
+        let mut history =
+            attempts::AttemptHistory::resumed(&from, self.sent_count, self.last_event_at.is_some());
         while is_resumable
             && history.sent_count < self.plan.route.max_attempts
             && self.plan.deadline > Instant::now()
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -118,6 +118,13 @@
         found.is_some_and(|position| self.replicas[position].accepts_requests(now))
     }
 
+    /// Address of a replica's broker.
+    #[must_use]
+    pub fn broker_address(&self, id: &str) -> Option<net::SocketAddr> {
+        let position = self.find(id).ok()?;
+        Some(self.replicas[position].broker.address())
+    }
+
     /// Number of replicas that are not leaving.
     #[must_use]
     pub fn available_count(&self, now: units::Timestamp) -> usize {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -43,6 +43,8 @@
     STREAM_RESUMED = 308, "stream_resumed";
     REQUEST_ABANDONED = 309, "request_abandoned";
     RESPONSE_OVER_LIMIT = 310, "response_over_limit";
+    PROMPT_PART_BLOCKED = 311, "prompt_part_blocked";
+    PROMPT_PART_ALLOWED = 312, "prompt_part_allowed";
     ADAPTER_LOADED = 401, "adapter_loaded";
     ADAPTER_EVICTED = 402, "adapter_evicted";
     ADAPTER_LOAD_FAILED = 403, "adapter_load_failed";
