Leave replicas alone that say they leave or ask for a pause

Cause: gateways knew that a replica leaves only from its record, and did not read the Retry-After of its refusals, so that a replica which wants nothing got more requests.

Change: replica_notices keeps both for one incarnation of a replica, apart from its record, which may lapse and come back. When all replicas of a service have asked for a pause, callers are told the shortest rest of it.

Evidence: replica_that_says_it_leaves_receives_no_new_requests and replica_that_asks_for_a_pause_receives_nothing_meanwhile fail without the call that records notices and pass with it.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod queueing;
 pub mod relisting;
 pub mod replica_choice;
+pub mod replica_notices;
 pub mod request_table;
 pub mod response_length;
 pub mod retries;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -248,6 +248,7 @@
             Err(reason) => return Err(self.record_send_failure(&replica, reason).into()),
         };
         let (head, body) = response.into_parts();
+        self.record_notice(&replica, self.wire.notice(&head));
         if let Some(sample) = self.wire.load(&head.headers) {
             self.replicas
                 .lock()
@@ -263,6 +264,20 @@
         self.classify_response(plan, open).await
     }
 
+    /// Records that a replica leaves or wants no requests for a time.
+    fn record_notice(&self, replica: &replica::ChosenReplica, notice: protocol::ReplicaNotice) {
+        if notice == protocol::ReplicaNotice::default() {
+            return;
+        }
+        let now = self.now();
+        let is_new = self.replicas.lock().record_notice(replica, notice, now);
+        if is_new {
+            self.pool.remove_idle(replica.address);
+        }
+        self.request_logger
+            .log_notice(&replica.id, is_new, notice.pause);
+    }
+
     /// Returns the connection of a complete response to the pool.
     pub fn recycle_connection(
         &self,
--- a/crates/gateway/src/local_reply.rs
+++ b/crates/gateway/src/local_reply.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Reply to a request without a replica that could take it. `pause` is the time until one wants
+    /// requests again, if that is known.
+    #[must_use]
+    pub fn no_replica(pause: Option<time::Duration>) -> Self {
+        pause.map_or(Self::NO_REPLICA, |pause| {
+            Self::not_run("replicas_paused", pause)
+        })
+    }
+
     /// Reply to a request that got no permit from any broker.
     #[must_use]
     pub fn no_permit(reason: message::RefusalReason, retry_after: time::Duration) -> Self {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -57,10 +57,12 @@
     ) -> Result<AssignedReplica, dispatch::AttemptError> {
         let Some(engine) = &plan.engine else {
             let replicas = self.replicas.lock();
-            let chosen = replicas.choose_service(&plan.service, history.excluded(), self.now());
-            let replica = chosen.ok_or(dispatch::AttemptError::Refused(
-                local_reply::LocalReply::NO_REPLICA,
-            ))?;
+            let now = self.now();
+            let chosen = replicas.choose_service(&plan.service, history.excluded(), now);
+            let replica = chosen.ok_or_else(|| {
+                let pause = replicas.shortest_pause(&plan.service, now);
+                dispatch::AttemptError::Refused(local_reply::LocalReply::no_replica(pause))
+            })?;
             return Ok(AssignedReplica {
                 replica,
                 permit: None,
@@ -68,7 +70,12 @@
             });
         };
         let mut excluded = history.excluded().to_vec();
-        let mut refusal = local_reply::LocalReply::NO_REPLICA;
+        let pause = self
+            .replicas
+            .lock()
+            .shortest_pause(&plan.service, self.now());
+        let no_replica = local_reply::LocalReply::no_replica(pause);
+        let mut refusal = no_replica;
         let (mut asked_count, mut replaced_count) = (0, 0);
         while asked_count < MAX_PERMIT_REQUESTS && replaced_count < MAX_REPLACED_ENGINES {
             let now = self.now();
@@ -79,7 +86,7 @@
                 Ok(placed) => return Ok(placed),
                 Err(PermitFailure::Replaced) => {
                     replaced_count += 1;
-                    if refusal == local_reply::LocalReply::NO_REPLICA {
+                    if refusal == no_replica {
                         refusal = local_reply::LocalReply::ENGINE_REPLACED;
                     }
                 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -89,6 +89,14 @@
     pub slowdown_percent: u32,
 }
 
+/// What a replica says about itself with a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReplicaNotice {
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this gateway.
+    pub pause: Option<time::Duration>,
+}
+
 /// Encoding of requests and responses as HTTP headers.
 pub trait WireProtocol: Send + Sync {
     /// Decodes the head of a caller's request.
@@ -106,6 +114,9 @@
     /// Load that a response reports.
     fn load(&self, head: &HeaderMap) -> Option<LoadSample>;
 
+    /// What the replica says about itself with a response.
+    fn notice(&self, head: &response::Parts) -> ReplicaNotice;
+
     /// Headers of a replica's response to the caller.
     fn returned_headers(&self, replica: &HeaderMap) -> HeaderMap;
 
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -8,7 +8,7 @@
 use std::{net, time};
 
 use broker::message;
-use decisions::{replica_choice, units};
+use decisions::{replica_choice, replica_notices, units};
 use xxhash_rust::xxh3;
 
 use crate::{plan, protocol, replica, store};
@@ -53,6 +53,7 @@
     data_centre: String,
     broker_port: u16,
     replicas: Vec<replica::Replica>,
+    notices: replica_notices::ReplicaNotices,
     /// Offset after the newest batch; a complete listing read before it removes nothing.
     next_offset: u64,
 }
@@ -65,6 +66,7 @@
             data_centre: data_centre.to_owned(),
             broker_port,
             replicas: Vec::new(),
+            notices: replica_notices::ReplicaNotices::default(),
             next_offset: 0,
         }
     }
@@ -111,11 +113,38 @@
         changes
     }
 
-    /// Whether a replica exists and is not leaving.
+    /// Whether a replica exists, is not leaving and has not asked for a pause.
     #[must_use]
     pub fn accepts_requests(&self, id: &str, now: units::Timestamp) -> bool {
         let found = self.find(id).ok();
-        found.is_some_and(|position| self.replicas[position].accepts_requests(now))
+        found.is_some_and(|position| self.is_usable(&self.replicas[position], now))
+    }
+
+    /// Records what a replica has said about itself; true if it leaves and that was not known.
+    pub fn record_notice(
+        &mut self,
+        replica: &replica::ChosenReplica,
+        notice: protocol::ReplicaNotice,
+        now: units::Timestamp,
+    ) -> bool {
+        let (id, incarnation) = (replica.id.as_str(), replica.incarnation);
+        if let Some(pause) = notice.pause {
+            self.notices.record_pause(id, incarnation, pause, now);
+        }
+        notice.is_leaving && self.notices.record_leaving(id, incarnation, now)
+    }
+
+    /// Shortest time until a replica of a service wants requests again, if all that could take them
+    /// have asked for a pause.
+    #[must_use]
+    pub fn shortest_pause(&self, service: &str, now: units::Timestamp) -> Option<time::Duration> {
+        let replicas = self.replicas.iter().filter(|replica| {
+            replica.record.service == service
+                && replica.accepts_requests(now)
+                && !self.is_leaving(replica)
+        });
+        let pauses = replicas.map(|replica| self.pause_left(replica, now));
+        pauses.min().filter(|pause| !pause.is_zero())
     }
 
     /// Address of a replica's broker.
@@ -274,6 +303,22 @@
         replicas.any(|replica| replica.missing_until.is_some())
     }
 
+    fn is_usable(&self, replica: &replica::Replica, now: units::Timestamp) -> bool {
+        replica.accepts_requests(now)
+            && !self.is_leaving(replica)
+            && self.pause_left(replica, now).is_zero()
+    }
+
+    fn is_leaving(&self, replica: &replica::Replica) -> bool {
+        let record = &replica.record;
+        self.notices.is_leaving(&record.id, record.incarnation)
+    }
+
+    fn pause_left(&self, replica: &replica::Replica, now: units::Timestamp) -> time::Duration {
+        let record = &replica.record;
+        self.notices.pause_left(&record.id, record.incarnation, now)
+    }
+
     fn upsert(&mut self, offset: u64, record: store::ReplicaRecord) -> Option<ReplicaTableChange> {
         let id = record.id.clone();
         match self.find(&id) {
@@ -334,7 +379,7 @@
     ) -> Vec<&replica::Replica> {
         let usable = |replica: &&replica::Replica| {
             replica.record.service == service
-                && replica.accepts_requests(now)
+                && self.is_usable(replica, now)
                 && !excluded.contains(&replica.record.id)
                 && !self.is_superseded(replica)
         };
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -130,6 +130,21 @@
             "bytes" => bytes, "limit" => limit);
     }
 
+    /// Logs that a replica leaves, if that is new, or wants no requests for a time.
+    pub fn log_notice(&self, replica: &str, is_leaving: bool, pause: Option<time::Duration>) {
+        if is_leaving {
+            slog::info!(self.logger, "replica leaves by its own response";
+                "event" => events::ENDPOINT_LEAVING.number,
+                "name" => events::ENDPOINT_LEAVING.name, "replicas" => replica);
+        }
+        if let Some(pause) = pause {
+            slog::info!(self.logger, "replica asked for a pause";
+                "event" => events::REPLICA_PAUSED.number,
+                "name" => events::REPLICA_PAUSED.name, "replica" => replica,
+                "pause_ms" => millis(pause));
+        }
+    }
+
     /// Logs a caller that disconnected before the end of its response.
     pub fn log_abandoned(&self, plan: &plan::RequestPlan) {
         slog::info!(self.logger, "caller disconnected";
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -64,6 +64,7 @@
     MODEL_ORDERED = 417, "model_ordered";
     PLACE_REFUSED = 418, "place_refused";
     ENGINE_CRASHED = 419, "engine_crashed";
+    REPLICA_PAUSED = 420, "replica_paused";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
