Refuse permits at once at an engine that has crashed

What callers saw: requests were refused or failed after up to six ended engines had been tried, while others could have served them.

Cause: a broker whose engine had ended still granted permits, or let requests wait for three missed reports, and told gateways that the model was loaded and nothing queued. An ended engine looked like an idle one.

Change: an engine that no longer listens counts as lost at once; its broker refuses at once and its view shows no model. Gateways leave it alone for the usual time. The broker asks a lost engine every 100 ms, and at once when an entry names a new incarnation.

--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use decisions::{permits, slot_broker, units};
+use decisions::{adapter_slots, permits, slot_broker, units};
 use tokio::sync::oneshot;
 
 use crate::message;
@@ -16,6 +16,15 @@
     retry_after: time::Duration::ZERO,
 };
 
+/// Refusal of a request while the engine cannot be reached.
+pub const ENGINE_LOST: message::PermitDecision = message::PermitDecision::Refused {
+    reason: message::RefusalReason::EngineUnreachable,
+    retry_after: adapter_slots::LOAD_BACKOFF,
+};
+
+/// Consecutive missed reports after which the engine counts as lost.
+pub const MAX_MISSED_REPORTS: u32 = 3;
+
 /// Call that waits for a permit.
 pub struct WaitingPermit {
     pub id: permits::PermitId,
@@ -54,6 +63,12 @@
         }
     }
 
+    /// Whether the engine cannot be reached. Requests for it would only wait for their refusal.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.missed_reports >= MAX_MISSED_REPORTS
+    }
+
     /// Whether the entries' newest identity of the engine is that of its reports. Another engine
     /// would refuse the commands.
     #[must_use]
@@ -112,7 +127,7 @@
         let adapters_hash = hash_adapters(&adapters);
         message::EngineView {
             incarnation: self.identity.incarnation.max(self.broker.incarnation()),
-            has_model: self.broker.expects_model(now),
+            has_model: !self.is_lost() && self.broker.expects_model(now),
             adapters_hash,
             adapters: (known_adapters != Some(adapters_hash)).then_some(adapters),
             slot_wait: self.broker.slot_wait(),
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -8,14 +8,18 @@
 use telemetry::{events, exposition, logs};
 use tokio::sync::{Notify, oneshot};
 
-use crate::{engine, engine_state, message, metrics, service, settings};
+use crate::{
+    engine,
+    engine_state::{self, MAX_MISSED_REPORTS},
+    message, metrics, service, settings,
+};
 
 /// Interval of status reports while a load is pending.
 const LOADING_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Interval of status reports while the engine cannot be reached.
+const LOST_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Interval of status reports while no load is pending.
 const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(400);
-/// Consecutive missed reports after which waiting requests are refused.
-const MAX_MISSED_REPORTS: u32 = 3;
 /// All commands to an engine come from the broker on its instance, so the token is constant.
 /// A late command is rejected by the number of accepted commands that it expects.
 const FENCING_TOKEN: u64 = 1;
@@ -79,12 +83,21 @@
             }
             self.update_status().await;
             self.command_due.notify_one();
-            let is_busy = self.state.lock().broker.is_busy();
-            if is_busy {
+            let (is_busy, is_lost) = {
+                let state = self.state.lock();
+                (state.broker.is_busy(), state.is_lost())
+            };
+            if is_busy && !is_lost {
                 tokio::time::sleep(LOADING_POLL_INTERVAL).await;
-            } else {
-                let _ = tokio::time::timeout(IDLE_POLL_INTERVAL, self.wake.notified()).await;
+                continue;
             }
+            let interval = if is_lost {
+                LOST_POLL_INTERVAL
+            } else {
+                IDLE_POLL_INTERVAL
+            };
+            // A timeout is the regular case.
+            let _ = tokio::time::timeout(interval, self.wake.notified()).await;
         }
     }
 
@@ -110,7 +123,7 @@
         let mut state = self.state.lock();
         let outcomes = match report {
             Ok(report) => {
-                if state.missed_reports >= MAX_MISSED_REPORTS {
+                if state.is_lost() {
                     logs::info(
                         &self.logger,
                         events::ENGINE_REGAINED,
@@ -122,14 +135,16 @@
                 state.broker.observe(&report.status, now)
             }
             Err(error) => {
+                let was_lost = state.is_lost();
+                state.missed_reports += 1;
                 if matches!(error, engine::EngineError::NotListening) {
                     self.record_crash(&mut state, now);
+                    state.missed_reports = state.missed_reports.max(MAX_MISSED_REPORTS);
                 }
-                state.missed_reports += 1;
-                if state.missed_reports < MAX_MISSED_REPORTS {
+                if !state.is_lost() {
                     return;
                 }
-                if state.missed_reports == MAX_MISSED_REPORTS {
+                if !was_lost {
                     logs::warn(&self.logger, events::ENGINE_UNREACHABLE, &error.to_string());
                 }
                 state.broker.engine_lost()
@@ -245,6 +260,7 @@
                 "name" => events::ENGINE_RESTARTED.name, "engine" => &engine.identity.id,
                 "incarnation" => incarnation);
             state.identity = engine.identity.clone();
+            state.missed_reports = 0;
             self.wake.notify_one();
         }
         if state.model != engine.model {
@@ -277,6 +293,12 @@
                     view: state.view(known_adapters, now),
                 };
             }
+            if state.is_lost() {
+                return message::PermitReply {
+                    decision: engine_state::ENGINE_LOST,
+                    view: state.view(known_adapters, now),
+                };
+            }
             let request = permits::PermitRequest {
                 id,
                 adapter: call.adapter.map(|adapter| permits::AdapterRequirement {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -170,6 +170,10 @@
                     self.request_replica_read();
                     return Err(PermitFailure::Replaced);
                 }
+                if reason == message::RefusalReason::EngineUnreachable {
+                    // A lost engine has no backlog and would be asked first.
+                    replicas.mark_unavailable(&replica.id, now);
+                }
                 let reply = local_reply::LocalReply::no_permit(reason, retry_after);
                 Err(PermitFailure::Refused(reply))
             }
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -133,6 +133,7 @@
             self.broker = Arc::new(client::BrokerClient::new(broker));
         }
         if is_new {
+            self.unreachable_until = units::Timestamp::default();
             self.view = None;
             self.sample = None;
             let (id, address) = (self.record.id.clone(), self.record.address);
