Tell other gateways which prompt parts are blocked

Cause: a gateway that restarts during a crash loop knows few crashes and has seen no starts.

Change: heartbeats carry the parts that a gateway blocks on its own evidence; brokers pass them to other gateways, which follow them unless the part has just started there. Only verdicts on own evidence are told, so that gateways do not hold up a verdict for one another.

Evidence: restarted_entry_follows_the_verdict_of_others, verdict_of_others_yields_to_starts_here.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -128,7 +128,7 @@
         entry: u64,
         engine: message::EngineSpec,
         known_adapters: Option<u64>,
-        cleared: Vec<message::ClearedSuspects>,
+        quarantine: message::QuarantineReport,
         now: units::Timestamp,
     ) -> Result<message::EngineView, CallError> {
         let connection = self.connect(now).await?;
@@ -138,7 +138,7 @@
             engine,
             released: released.clone(),
             known_adapters,
-            cleared,
+            quarantine,
         };
         let view = connection
             .heartbeat(service::deadline(RESPONSE_MARGIN), call)
--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -121,7 +121,12 @@
 
     /// State of the engine for an entry that knows the adapters of a hash.
     #[must_use]
-    pub fn view(&self, known_adapters: Option<u64>, now: units::Timestamp) -> message::EngineView {
+    pub fn view(
+        &self,
+        entry: u64,
+        known_adapters: Option<u64>,
+        now: units::Timestamp,
+    ) -> message::EngineView {
         let count = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
         let adapters = self.adapters();
         let adapters_hash = hash_adapters(&adapters);
@@ -135,6 +140,7 @@
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
             crashes: self.crashes(now),
+            blocked_parts: self.broker.parts_blocked_by_others(entry, now),
         }
     }
 
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -150,6 +150,8 @@
     pub entries: u32,
     /// Recent crashes, which all entries need in order to find their cause.
     pub crashes: Vec<CrashReport>,
+    /// Prompt parts that other entries keep from engines.
+    pub blocked_parts: Vec<u64>,
 }
 
 /// Reply to a request for a permit.
@@ -167,8 +169,16 @@
     pub released: Vec<u64>,
     /// Hash of the engine's adapters that the entry knows.
     pub known_adapters: Option<u64>,
+    pub quarantine: QuarantineReport,
+}
+
+/// What an entry has found out about crashes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineReport {
     /// Suspects of the engine's crashes that the entry knows to be sound.
     pub cleared: Vec<ClearedSuspects>,
+    /// Prompt parts that the entry keeps from engines because of the crashes that it knows.
+    pub blocked_parts: Vec<u64>,
 }
 
 impl From<prompt_quarantine::ClearedSuspects> for ClearedSuspects {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -290,13 +290,13 @@
             if !self.update_spec(&mut state, &call.engine) {
                 return message::PermitReply {
                     decision: engine_state::ENGINE_REPLACED,
-                    view: state.view(known_adapters, now),
+                    view: state.view(call.entry, known_adapters, now),
                 };
             }
             if state.is_lost() {
                 return message::PermitReply {
                     decision: engine_state::ENGINE_LOST,
-                    view: state.view(known_adapters, now),
+                    view: state.view(call.entry, known_adapters, now),
                 };
             }
             let request = permits::PermitRequest {
@@ -317,7 +317,7 @@
             if let Some(outcome) = state.broker.request_permit(request, now) {
                 return message::PermitReply {
                     decision: outcome.into(),
-                    view: state.view(known_adapters, now),
+                    view: state.view(call.entry, known_adapters, now),
                 };
             }
             let (sender, receiver) = oneshot::channel();
@@ -333,7 +333,7 @@
             reason: message::RefusalReason::EngineUnreachable,
             retry_after: time::Duration::ZERO,
         });
-        let view = self.state.lock().view(known_adapters, self.now());
+        let view = self.state.lock().view(id.entry, known_adapters, self.now());
         message::PermitReply { decision, view }
     }
 }
@@ -357,12 +357,14 @@
         state.broker.entry_seen(call.entry, now);
         self.update_spec(&mut state, &call.engine);
         state.release(call.entry, &call.released, now);
-        for cleared in &call.cleared {
+        let blocked_parts = call.quarantine.blocked_parts;
+        state.broker.record_blocked_parts(call.entry, blocked_parts);
+        for cleared in &call.quarantine.cleared {
             state
                 .broker
                 .clear_suspects(cleared.incarnation, &cleared.parts);
         }
-        state.view(call.known_adapters, now)
+        state.view(call.entry, call.known_adapters, now)
     }
 }
 
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -55,7 +55,13 @@
     let heartbeat = async {
         tokio::time::sleep(time::Duration::from_millis(100)).await;
         client
-            .heartbeat(1, engine_spec(), None, Vec::new(), now)
+            .heartbeat(
+                1,
+                engine_spec(),
+                None,
+                message::QuarantineReport::default(),
+                now,
+            )
             .await
             .unwrap_err()
     };
@@ -72,7 +78,13 @@
     let client = BrokerClient::new(listener.local_addr().unwrap());
     drop(listener);
     let error = client
-        .heartbeat(1, engine_spec(), None, Vec::new(), units::Timestamp(0))
+        .heartbeat(
+            1,
+            engine_spec(),
+            None,
+            message::QuarantineReport::default(),
+            units::Timestamp(0),
+        )
         .await
         .unwrap_err();
     assert!(!error.is_unresponsive(), "{error}");
--- a/crates/decisions/src/prompt_quarantine.rs
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -11,6 +11,9 @@
 //! attributed to one part only. An entry that sees few requests waits until other starts, or the
 //! reports of other entries, show that a common part would have started by now.
 //!
+//! Entries also tell each other, through the brokers, which parts they block on evidence of their own.
+//! An entry that has just started, or has not heard of all crashes, follows them.
+//!
 //! A blocked part is tried again with a single request after a time that doubles with each crash.
 //! If the request starts, the part is cleared everywhere.
 
@@ -39,6 +42,8 @@
 const TRIAL_DELAY: time::Duration = time::Duration::from_mins(1);
 /// Maximum number of times that the delay doubles.
 const MAX_DOUBLINGS: u32 = 4;
+/// Age beyond which a verdict of other entries is ignored.
+const MAX_VERDICT_AGE: time::Duration = time::Duration::from_secs(2);
 /// Mean time between the trials of two entries, so that the result of the first one is known.
 const TRIAL_SPACING: time::Duration = time::Duration::from_secs(2);
 
@@ -57,6 +62,15 @@
     pub crashes: usize,
     last_crash: units::Timestamp,
     last_trial: Option<units::Timestamp>,
+    /// Blocked because other entries do so, without enough evidence here.
+    is_adopted: bool,
+}
+
+/// Part that other entries block, as a broker has reported.
+#[derive(Clone, Copy, Debug)]
+struct PeerVerdict {
+    part: u64,
+    at: units::Timestamp,
 }
 
 /// Whether a request may be sent to an engine.
@@ -96,6 +110,8 @@
     crashes: Vec<ReportedCrash>,
     /// Sorted by part.
     blocked: Vec<BlockedPart>,
+    /// Sorted by part.
+    peer_verdicts: Vec<PeerVerdict>,
     evaluated_at: units::Timestamp,
 }
 
@@ -124,12 +140,54 @@
             let retry_after = due.since(now);
             return PromptAdmission::Blocked { retry_after };
         }
+        if blocked.iter().any(|blocked| blocked.is_adopted) {
+            // The entries with evidence make the trial.
+            let retry_after = TRIAL_DELAY;
+            return PromptAdmission::Blocked { retry_after };
+        }
         for blocked in &mut blocked {
             blocked.last_trial = Some(now);
         }
         PromptAdmission::Trial
     }
 
+    /// Records the parts that a broker reports as blocked by other entries.
+    pub fn record_peer_verdicts(
+        &mut self,
+        parts: &[u64],
+        now: units::Timestamp,
+    ) -> Vec<QuarantineChange> {
+        for part in parts {
+            let verdict = PeerVerdict {
+                part: *part,
+                at: now,
+            };
+            match self.find_verdict(*part) {
+                Ok(position) => self.peer_verdicts[position] = verdict,
+                Err(position) => self.peer_verdicts.insert(position, verdict),
+            }
+        }
+        let is_due = now.since(self.evaluated_at) >= EVALUATION_INTERVAL;
+        if is_due && !self.is_idle() {
+            self.evaluate(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Whether there is no evidence and no verdict.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.crashes.is_empty() && self.peer_verdicts.is_empty() && self.blocked.is_empty()
+    }
+
+    /// Parts that are blocked on this entry's own evidence.
+    #[must_use]
+    pub fn proven_parts(&self) -> Vec<u64> {
+        let proven = self.blocked.iter().filter(|blocked| !blocked.is_adopted);
+        proven.map(|blocked| blocked.part).collect()
+    }
+
     /// Records that a request with the parts has brought events.
     pub fn record_start(&mut self, parts: &[u64], now: units::Timestamp) -> Vec<QuarantineChange> {
         if parts.is_empty() {
@@ -235,6 +293,8 @@
         self.evaluated_at = now;
         self.crashes
             .retain(|reported| now.since(reported.crash.at) < CRASH_MEMORY);
+        self.peer_verdicts
+            .retain(|verdict| now.since(verdict.at) < MAX_VERDICT_AGE);
         let earlier = std::mem::take(&mut self.blocked);
         let mut unexplained: Vec<&crash_log::EngineCrash> = self
             .crashes
@@ -243,7 +303,7 @@
             .collect();
         let mut blocked = Vec::new();
         // A part that is blocked already explains its crashes before a newly suspected one does.
-        for known in &earlier {
+        for known in earlier.iter().filter(|known| !known.is_adopted) {
             let evidence = PartEvidence::new(known.part, &unexplained);
             if evidence.crashes >= MIN_CRASHES {
                 unexplained.retain(|crash| !crash.suspects_part(known.part));
@@ -254,11 +314,34 @@
             unexplained.retain(|crash| !crash.suspects_part(evidence.part));
             blocked.push(evidence.into_blocked(None));
         }
+        blocked.extend(self.adopted_parts(&blocked, now));
         blocked.sort_unstable_by_key(|blocked| blocked.part);
         self.blocked = blocked;
         changes(&earlier, &self.blocked)
     }
 
+    /// Parts that other entries block, unless they are among `proven` or have just started here.
+    fn adopted_parts(&self, proven: &[BlockedPart], now: units::Timestamp) -> Vec<BlockedPart> {
+        let adopted = self.peer_verdicts.iter().filter(|verdict| {
+            let last_start = self.starts.last_start(verdict.part);
+            let has_started = last_start.is_some_and(|at| now.since(at) < SETTLE_TIME);
+            !has_started && proven.iter().all(|known| known.part != verdict.part)
+        });
+        let adopted = adopted.map(|verdict| BlockedPart {
+            part: verdict.part,
+            crashes: MIN_CRASHES,
+            last_crash: verdict.at,
+            last_trial: None,
+            is_adopted: true,
+        });
+        adopted.collect()
+    }
+
+    fn find_verdict(&self, part: u64) -> Result<usize, usize> {
+        self.peer_verdicts
+            .binary_search_by_key(&part, |verdict| verdict.part)
+    }
+
     /// Part that explains most crashes. Among equals, the one that has not started for longest, then
     /// the later one in the prompt, which fewer requests have.
     fn likeliest_cause(
@@ -289,8 +372,9 @@
     fn is_sufficient(&self, evidence: &PartEvidence, now: units::Timestamp) -> bool {
         let others = self.starts.starts_since(evidence.part);
         let is_settled = now.since(evidence.proven_at) >= SETTLE_TIME;
-        evidence.crashes >= MIN_CRASHES
-            && (others >= MIN_OTHER_STARTS || (is_settled && others >= MIN_SETTLED_STARTS))
+        let is_unlikely =
+            others >= MIN_OTHER_STARTS || (is_settled && others >= MIN_SETTLED_STARTS);
+        evidence.crashes >= MIN_CRASHES && is_unlikely
     }
 }
 
@@ -335,6 +419,7 @@
             crashes: self.crashes,
             last_crash: self.last_crash,
             last_trial,
+            is_adopted: false,
         }
     }
 }
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -103,6 +103,17 @@
         self.entries.record_call(entry, now);
     }
 
+    /// Records the prompt parts that an entry keeps from engines.
+    pub fn record_blocked_parts(&mut self, entry: u64, parts: Vec<u64>) {
+        self.entries.record_blocked_parts(entry, parts);
+    }
+
+    /// Prompt parts that other entries keep from engines.
+    #[must_use]
+    pub fn parts_blocked_by_others(&self, entry: u64, now: units::Timestamp) -> Vec<u64> {
+        self.entries.parts_blocked_by_others(entry, now)
+    }
+
     /// Requests a permit; `None` when the request has to wait for it.
     pub fn request_permit(
         &mut self,
--- a/crates/decisions/tests/prompt_quarantine.rs
+++ b/crates/decisions/tests/prompt_quarantine.rs
@@ -175,3 +175,29 @@
     let second = wait(late.admit(&CRASHING_PROMPT, ENTRIES, now));
     assert!(second >= first + time::Duration::from_secs(5));
 }
+
+// Guards against an entry that sends a blocked part on after its restart, because it knows too few of
+// the crashes, and against verdicts that entries hold up for one another.
+#[test]
+fn restarted_entry_follows_the_verdict_of_others() {
+    let mut proven = busy_quarantine();
+    let now = report_crashes(&mut proven, 3);
+    assert_eq!(proven.proven_parts(), [CAUSE]);
+    let mut restarted = PromptQuarantine::new(0.5);
+    restarted.record_peer_verdicts(&proven.proven_parts(), at(now));
+    assert_eq!(blocked_parts(&restarted), [CAUSE]);
+    assert_eq!(restarted.proven_parts(), []);
+    let admission = restarted.admit(&CRASHING_PROMPT, ENTRIES, at(now));
+    assert!(matches!(admission, PromptAdmission::Blocked { .. }));
+    restarted.record_peer_verdicts(&[], at(now + 3_000));
+    assert_eq!(blocked_parts(&restarted), []);
+}
+
+// Guards against following a wrong verdict on a part that starts here all the time.
+#[test]
+fn verdict_of_others_yields_to_starts_here() {
+    let mut quarantine = busy_quarantine();
+    quarantine.record_start(&[FIRST], at(2_000));
+    quarantine.record_peer_verdicts(&[FIRST], at(2_500));
+    assert_eq!(blocked_parts(&quarantine), []);
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -134,8 +134,9 @@
     /// Records the state of an engine, as its broker reports it.
     pub fn record_view(&self, replica: &str, mut view: message::EngineView) {
         let crashes = std::mem::take(&mut view.crashes);
-        if !crashes.is_empty() {
-            self.record_crashes(replica, crashes);
+        let is_idle = crashes.is_empty() && view.blocked_parts.is_empty();
+        if !is_idle || !self.quarantine.lock().is_idle() {
+            self.record_quarantine(replica, crashes, &view.blocked_parts);
         }
         let is_current = self.replicas.lock().record_view(replica, view, self.now());
         if !is_current {
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -31,7 +31,7 @@
                             dispatcher.incarnation,
                             spec,
                             replica.adapters_hash,
-                            dispatcher.cleared_suspects(replica.broker.address()),
+                            dispatcher.quarantine_report(replica.broker.address()),
                             now,
                         )
                         .await;
@@ -80,10 +80,10 @@
                 let entry = dispatcher.incarnation;
                 // A failure is reported by the next heartbeat, which sends the same releases.
                 let known = replica.adapters_hash;
-                let cleared = dispatcher.cleared_suspects(replica.broker.address());
+                let report = dispatcher.quarantine_report(replica.broker.address());
                 let view = replica
                     .broker
-                    .heartbeat(entry, spec, known, cleared, now)
+                    .heartbeat(entry, spec, known, report, now)
                     .await;
                 if let Ok(view) = view {
                     dispatcher.record_view(&replica.id, view);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -29,7 +29,7 @@
         if parts.is_empty() || history.has_started || history.may_make_trial() {
             return Ok(());
         }
-        if self.quarantine.lock().blocked().is_empty() {
+        if self.quarantine.lock().is_idle() {
             return Ok(());
         }
         let now = self.now();
@@ -55,8 +55,13 @@
         self.log_quarantine(&changes);
     }
 
-    /// Records the crashes that the broker of a replica reports.
-    pub fn record_crashes(&self, replica: &str, reports: Vec<message::CrashReport>) {
+    /// Records the crashes and verdicts that the broker of a replica reports.
+    pub fn record_quarantine(
+        &self,
+        replica: &str,
+        reports: Vec<message::CrashReport>,
+        blocked_parts: &[u64],
+    ) {
         let Some(broker) = self.replicas.lock().broker_address(replica) else {
             return;
         };
@@ -67,15 +72,24 @@
             suspects: report.suspects,
         });
         let crashes = crashes.collect();
-        let changes = self.quarantine.lock().record_crashes(broker, crashes, now);
+        let changes = {
+            let mut quarantine = self.quarantine.lock();
+            let mut changes = quarantine.record_crashes(broker, crashes, now);
+            changes.extend(quarantine.record_peer_verdicts(blocked_parts, now));
+            changes
+        };
         self.log_quarantine(&changes);
     }
 
-    /// Suspects of the crashes that a broker reports which are known to be sound.
+    /// What is known about the crashes that a broker reports.
     #[must_use]
-    pub fn cleared_suspects(&self, broker: net::SocketAddr) -> Vec<message::ClearedSuspects> {
-        let cleared = self.quarantine.lock().cleared_suspects(broker);
-        cleared.into_iter().map(Into::into).collect()
+    pub fn quarantine_report(&self, broker: net::SocketAddr) -> message::QuarantineReport {
+        let quarantine = self.quarantine.lock();
+        let cleared = quarantine.cleared_suspects(broker);
+        message::QuarantineReport {
+            cleared: cleared.into_iter().map(Into::into).collect(),
+            blocked_parts: quarantine.proven_parts(),
+        }
     }
 
     fn log_quarantine(&self, changes: &[prompt_quarantine::QuarantineChange]) {
