--- a/tests/platform_soak.rs
+++ b/tests/platform_soak.rs
@@ -7,17 +7,12 @@
 #[allow(dead_code)]
 mod support;
 
-use std::{net, time};
+use std::time;
 
-use platform_wire::stand_in::{
-    caller::{self, TestRequest, TestResponse},
-    deployment::{self, StandInDeployment},
-    replica::ReplicaFault,
-};
+use platform_wire::stand_in::{caller::TestRequest, deployment, replica::ReplicaFault};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
-use rustix::process::Signal;
-use support::{bounded, process, until};
+use support::{bounded, platform_cluster::PlatformCluster, until};
 use test_case::test_case;
 
 const STEP_COUNT: u32 = 40;
@@ -37,201 +32,40 @@
     ReplicaFault::MissingSignature,
 ];
 
-/// Gateway or broker process with its settings.
-struct RoleProcess {
-    command: &'static str,
-    name: String,
-    settings: serde_json::Value,
-    process: Option<process::ChildProcess>,
-    is_suspended: bool,
-}
-
-struct PlatformSystem {
-    directory: tempfile::TempDir,
-    platform: StandInDeployment,
-    roles: Vec<RoleProcess>,
-    gateways: Vec<net::SocketAddr>,
-    ready: Vec<net::SocketAddr>,
-    version: u64,
-}
-
-impl PlatformSystem {
-    async fn start() -> Self {
-        let platform = StandInDeployment::start().await.unwrap();
-        let broker_port = process::free_address().port();
-        let mut roles = Vec::new();
-        for (number, engine) in platform.engines.iter().enumerate() {
-            let listen = net::SocketAddr::new(engine.address().ip(), broker_port);
-            let settings = serde_json::json!({
-                "instance": format!("side-{number}"), "data_centre": "north",
-                "listen": listen, "engine": engine.address(),
-            });
-            roles.push(RoleProcess::new("broker", number, settings));
-        }
-        let (mut gateways, mut ready) = (Vec::new(), Vec::new());
-        for number in 0..2 {
-            gateways.push(process::free_address());
-            ready.push(process::free_address());
-            let settings = serde_json::json!({
-                "instance": format!("front-{number}"), "data_centre": "north",
-                "listen": {"callers": gateways[number], "readiness": ready[number],
-                    "metrics": process::free_address()},
-                "store": platform.store.address(), "broker_port": broker_port,
-                "data_centres": ["north"], "leave_ms": 1000,
-                "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10},
-                "shutdown": {"grace_s": 4, "rotation_ms": 200},
-            });
-            roles.push(RoleProcess::new("gateway", number, settings));
-        }
-        let mut system = Self {
-            directory: tempfile::tempdir().unwrap(),
-            platform,
-            roles,
-            gateways,
-            ready,
-            version: 1,
-        };
-        system.restart();
-        system.wait_ready().await;
-        system
-    }
-
-    /// Starts processes that do not run and resumes those that are stopped.
-    fn restart(&mut self) {
-        for role in &mut self.roles {
-            role.resume();
-            if role
-                .process
-                .as_mut()
-                .is_none_or(|process| !process.is_running())
-            {
-                let directory = self.directory.path();
-                let process = process::ChildProcess::start(
-                    role.command,
-                    &role.name,
-                    &role.settings,
-                    directory,
-                );
-                role.process = Some(process);
-            }
-        }
-    }
-
-    async fn wait_ready(&self) {
-        for address in &self.ready {
-            until("the gateway is ready", || caller::is_ready(*address)).await;
-        }
-    }
-
-    /// Injects one random fault, or ends one.
-    fn inject_fault(&mut self, generator: &mut ChaCha8Rng) {
-        let number = generator.random_range(0..self.roles.len());
-        match generator.random_range(0..10) {
-            0 => self.roles[number].kill(),
-            1 => self.roles[number].suspend(),
-            2 => self.platform.store.set_down(true),
-            3 => self.platform.store.set_down(false),
-            4 => {
-                self.version += generator.random_range(1..4);
-                self.platform.publish_configuration(self.version, true);
-            }
-            5 => {
-                let engine = self.platform.engines.choose(generator).unwrap();
-                engine.restart();
-                self.platform.list_replicas(0);
-            }
-            6 => self.platform.compact_replicas(),
-            7 => {
-                let adapter = format!("a{}", generator.random_range(0..ADAPTER_COUNT));
-                self.platform
-                    .declare_version(&adapter, generator.random_range(1..9));
-            }
-            8 => self.restart(),
-            _ => {
-                let fault = *FAULTS.choose(generator).unwrap();
-                let platform = &self.platform;
-                let replicas: Vec<_> = platform
-                    .engines
-                    .iter()
-                    .chain(&platform.plain_replicas)
-                    .collect();
-                replicas.choose(generator).unwrap().set_fault(fault);
-            }
-        }
-    }
-
-    /// Ends all faults.
-    fn end_faults(&mut self) {
-        self.platform.store.set_down(false);
-        for replica in self
-            .platform
-            .engines
-            .iter()
-            .chain(&self.platform.plain_replicas)
-        {
-            replica.set_fault(ReplicaFault::None);
-        }
-        self.platform.list_replicas(0);
-        self.restart();
-    }
-
-    fn check(&self, call: &TestRequest, response: &TestResponse) {
-        let runs = self.platform.count_runs(&call.id);
-        let may_repeat = [deployment::SAFE_PATH, deployment::STREAM_PATH];
-        let max_runs = if may_repeat.contains(&call.path.as_str()) {
-            2
-        } else {
-            1
-        };
-        assert!(runs <= max_runs, "{runs} runs of {call:?}: {response:?}");
-        if response.promises_not_executed() && max_runs == 1 {
-            assert_eq!(runs, 0, "{call:?} ran: {response:?}");
-        }
-        if !response.is_success() {
-            return;
-        }
-        assert!(runs > 0, "{call:?} did not run: {response:?}");
-        if call.adapter.is_some() {
-            let expected: Vec<u64> = (1..=call.events).collect();
-            assert_eq!(response.events(), expected, "{call:?}");
-        } else {
-            assert_eq!(response.body, format!("done {}", call.id));
-        }
-    }
-}
-
-impl RoleProcess {
-    fn new(command: &'static str, number: usize, settings: serde_json::Value) -> Self {
-        Self {
-            command,
-            name: format!("{command}-{number}"),
-            settings,
-            process: None,
-            is_suspended: false,
-        }
-    }
-
-    fn kill(&mut self) {
-        self.resume();
-        if let Some(process) = &mut self.process {
-            process.kill();
-        }
-    }
-
-    fn suspend(&mut self) {
-        if let Some(process) = &mut self.process
-            && process.is_running()
-        {
-            process.signal(Signal::STOP);
-            self.is_suspended = true;
-        }
-    }
-
-    fn resume(&mut self) {
-        if let Some(process) = &self.process
-            && std::mem::take(&mut self.is_suspended)
-        {
-            process.signal(Signal::CONT);
+/// Injects one random fault, or ends one.
+fn inject_fault(system: &mut PlatformCluster, generator: &mut ChaCha8Rng) {
+    let number = generator.random_range(0..system.roles.len());
+    match generator.random_range(0..10) {
+        0 => system.roles[number].kill(),
+        1 => system.roles[number].suspend(),
+        2 => system.platform.store.set_down(true),
+        3 => system.platform.store.set_down(false),
+        4 => {
+            system.version += generator.random_range(1..4);
+            system.platform.publish_configuration(system.version, true);
+        }
+        5 => {
+            let engine = system.platform.engines.choose(generator).unwrap();
+            engine.restart();
+            system.platform.list_replicas(0);
+        }
+        6 => system.platform.compact_replicas(),
+        7 => {
+            let adapter = format!("a{}", generator.random_range(0..ADAPTER_COUNT));
+            system
+                .platform
+                .declare_version(&adapter, generator.random_range(1..9));
+        }
+        8 => system.restart(),
+        _ => {
+            let fault = *FAULTS.choose(generator).unwrap();
+            let platform = &system.platform;
+            let replicas: Vec<_> = platform
+                .engines
+                .iter()
+                .chain(&platform.plain_replicas)
+                .collect();
+            replicas.choose(generator).unwrap().set_fault(fault);
         }
     }
 }
@@ -262,11 +96,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults_violate_no_guarantee(seed: u64) {
     bounded(async {
-        let mut system = PlatformSystem::start().await;
+        let mut system = PlatformCluster::start(2, deployment::ENGINE_COUNT).await;
         let mut generator = ChaCha8Rng::seed_from_u64(seed);
         let mut open = Vec::new();
         for step in 0..STEP_COUNT {
-            system.inject_fault(&mut generator);
+            inject_fault(&mut system, &mut generator);
             for _ in 0..CALLS_PER_STEP {
                 let call = call(open.len(), &mut generator);
                 let gateway = *system.gateways.choose(&mut generator).unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod platform_cluster;
 pub mod process;
 pub mod relay;
 pub mod service;
