--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -51,35 +51,15 @@
 }
 
 fn call(number: u64, adapter: &str) -> message::PermitCall {
+    let limit = time::Duration::from_secs(20);
     message::PermitCall {
-        entry: 1,
-        number,
-        engine: message::EngineSpec {
-            identity: message::EngineIdentity {
-                id: "engine-0".to_owned(),
-                incarnation: 1,
-            },
-            capacity: message::EngineCapacity {
-                adapter_slots: 4,
-                batch_slots: 8,
-            },
-            model: "base".to_owned(),
-            model_load_time: None,
-        },
-        request: format!("request-{number}"),
         adapter: Some(message::AdapterRequirement {
             name: adapter.to_owned(),
             version: 0,
         }),
-        priority: 1,
-        prompt_parts: Vec::new(),
-        prompt_tokens: 100,
-        output_tokens: 10,
-        objective: time::Duration::from_secs(1),
-        start_deadline: time::Duration::from_secs(20),
-        deadline: time::Duration::from_secs(20),
-        released: Vec::new(),
-        known_adapters: None,
+        start_deadline: limit,
+        deadline: limit,
+        ..support::call(number, "engine-0", 1)
     }
 }
 
--- a/crates/broker/tests/lost_engine.rs
+++ b/crates/broker/tests/lost_engine.rs
@@ -55,31 +55,8 @@
 
 fn call(number: u64) -> message::PermitCall {
     message::PermitCall {
-        entry: 1,
-        number,
-        engine: message::EngineSpec {
-            identity: message::EngineIdentity {
-                id: "engine-0".to_owned(),
-                incarnation: INCARNATION,
-            },
-            capacity: message::EngineCapacity {
-                adapter_slots: 4,
-                batch_slots: 8,
-            },
-            model: "base".to_owned(),
-            model_load_time: None,
-        },
-        request: format!("request-{number}"),
-        adapter: None,
-        priority: 1,
         prompt_parts: vec![PART],
-        prompt_tokens: 100,
-        output_tokens: 10,
-        objective: time::Duration::from_secs(1),
-        start_deadline: time::Duration::from_secs(4),
-        deadline: time::Duration::from_secs(4),
-        released: Vec::new(),
-        known_adapters: None,
+        ..support::call(number, "engine-0", INCARNATION)
     }
 }
 
--- a/crates/broker/tests/replaced_engine.rs
+++ b/crates/broker/tests/replaced_engine.rs
@@ -47,36 +47,6 @@
     }
 }
 
-fn call(number: u64, id: &str, incarnation: u64) -> message::PermitCall {
-    message::PermitCall {
-        entry: 1,
-        number,
-        engine: message::EngineSpec {
-            identity: message::EngineIdentity {
-                id: id.to_owned(),
-                incarnation,
-            },
-            capacity: message::EngineCapacity {
-                adapter_slots: 4,
-                batch_slots: 8,
-            },
-            model: "base".to_owned(),
-            model_load_time: Some(time::Duration::from_millis(700)),
-        },
-        request: format!("request-{number}"),
-        adapter: None,
-        priority: 1,
-        prompt_parts: Vec::new(),
-        prompt_tokens: 100,
-        output_tokens: 10,
-        objective: time::Duration::from_secs(1),
-        start_deadline: time::Duration::from_secs(4),
-        deadline: time::Duration::from_secs(4),
-        released: Vec::new(),
-        known_adapters: None,
-    }
-}
-
 fn is_replaced(reply: &message::PermitReply) -> bool {
     let message::PermitDecision::Refused { reason, .. } = reply.decision else {
         return false;
@@ -92,7 +62,9 @@
     let (broker, _) = support::start(Box::new(engine.clone()));
     for number in 1..4 {
         let asked = tokio::time::Instant::now();
-        let reply = broker.request_permit(call(number, "former", OLD)).await;
+        let reply = broker
+            .request_permit(support::call(number, "former", OLD))
+            .await;
         assert!(is_replaced(&reply), "{reply:?}");
         // The first call waits for the engine's first report.
         assert!(asked.elapsed() < time::Duration::from_millis(100));
@@ -105,9 +77,13 @@
 async fn present_id_is_commanded_at_once() {
     let engine = RestartedEngine::default();
     let (broker, _) = support::start(Box::new(engine.clone()));
-    broker.request_permit(call(1, "former", OLD)).await;
+    broker.request_permit(support::call(1, "former", OLD)).await;
     let waiting = Arc::clone(&broker);
-    let task = tokio::spawn(async move { waiting.request_permit(call(2, "present", NEW)).await });
+    let task = tokio::spawn(async move {
+        waiting
+            .request_permit(support::call(2, "present", NEW))
+            .await
+    });
     tokio::time::sleep(time::Duration::from_millis(50)).await;
     assert_eq!(*engine.commanded.lock().unwrap(), ["present"]);
     task.abort();
--- a/crates/decisions/src/prompt_quarantine.rs
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -19,13 +19,10 @@
 
 use std::{cmp, net, time};
 
-use crate::{crash_log, part_starts, units};
+use crate::{crash_evidence, crash_log, part_starts, units};
 
 /// Separate crashes after which a part is blocked.
 const MIN_CRASHES: usize = 3;
-/// Crashes within this time of one another count once, because a common failure, such as the loss
-/// of a rack, ends several engines at the same moment.
-const CRASH_WINDOW: time::Duration = time::Duration::from_millis(200);
 /// Starts without a part after which the entry would have seen one with it if it was sound.
 const MIN_OTHER_STARTS: u64 = 32;
 /// Starts without a part that suffice when other entries had time to report one with it.
@@ -304,15 +301,15 @@
         let mut blocked = Vec::new();
         // A part that is blocked already explains its crashes before a newly suspected one does.
         for known in earlier.iter().filter(|known| !known.is_adopted) {
-            let evidence = PartEvidence::new(known.part, &unexplained);
-            if evidence.crashes >= MIN_CRASHES {
+            let evidence = crash_evidence::PartEvidence::new(known.part, &unexplained);
+            if evidence.crashes() >= MIN_CRASHES {
                 unexplained.retain(|crash| !crash.suspects_part(known.part));
-                blocked.push(evidence.into_blocked(known.last_trial));
+                blocked.push(BlockedPart::new(&evidence, known.last_trial));
             }
         }
         while let Some(evidence) = self.likeliest_cause(&unexplained, now) {
             unexplained.retain(|crash| !crash.suspects_part(evidence.part));
-            blocked.push(evidence.into_blocked(None));
+            blocked.push(BlockedPart::new(&evidence, None));
         }
         blocked.extend(self.adopted_parts(&blocked, now));
         blocked.sort_unstable_by_key(|blocked| blocked.part);
@@ -348,7 +345,7 @@
         &self,
         crashes: &[&crash_log::EngineCrash],
         now: units::Timestamp,
-    ) -> Option<PartEvidence> {
+    ) -> Option<crash_evidence::PartEvidence> {
         let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
         let uncleared = suspects.filter(|suspect| !suspect.is_cleared);
         let mut parts: Vec<u64> = uncleared.map(|suspect| suspect.part).collect();
@@ -356,12 +353,12 @@
         parts.dedup();
         let evidence = parts
             .into_iter()
-            .map(|part| PartEvidence::new(part, crashes));
+            .map(|part| crash_evidence::PartEvidence::new(part, crashes));
         let sufficient = evidence.filter(|evidence| self.is_sufficient(evidence, now));
         sufficient.max_by_key(|evidence| {
             let last_start = self.starts.last_start(evidence.part);
             (
-                evidence.crashes,
+                evidence.crashes(),
                 cmp::Reverse(last_start),
                 evidence.position,
             )
@@ -369,62 +366,30 @@
     }
 
     /// Whether a sound part would have started by now.
-    fn is_sufficient(&self, evidence: &PartEvidence, now: units::Timestamp) -> bool {
+    fn is_sufficient(
+        &self,
+        evidence: &crash_evidence::PartEvidence,
+        now: units::Timestamp,
+    ) -> bool {
         let others = self.starts.starts_since(evidence.part);
-        let is_settled = now.since(evidence.proven_at) >= SETTLE_TIME;
+        let is_settled = now.since(evidence.time_of(MIN_CRASHES)) >= SETTLE_TIME;
         let is_unlikely =
             others >= MIN_OTHER_STARTS || (is_settled && others >= MIN_SETTLED_STARTS);
-        evidence.crashes >= MIN_CRASHES && is_unlikely
+        evidence.crashes() >= MIN_CRASHES && is_unlikely
     }
 }
 
-/// Crashes that may be attributed to a part.
-struct PartEvidence {
-    part: u64,
-    position: u8,
-    /// Separate crashes.
-    crashes: usize,
-    /// Time of the crash that made them enough.
-    proven_at: units::Timestamp,
-    last_crash: units::Timestamp,
-}
-
-impl PartEvidence {
-    fn new(part: u64, crashes: &[&crash_log::EngineCrash]) -> Self {
-        let mut times = Vec::new();
-        let mut position = 0;
-        for crash in crashes {
-            if let Some(suspect) = crash.suspect(part)
-                && !suspect.is_cleared
-            {
-                times.push(crash.at);
-                position = position.max(suspect.position);
-            }
-        }
-        times.sort_unstable();
-        let last_crash = times.last().copied().unwrap_or_default();
-        times.dedup_by(|later, earlier| later.since(*earlier) < CRASH_WINDOW);
+impl BlockedPart {
+    fn new(evidence: &crash_evidence::PartEvidence, last_trial: Option<units::Timestamp>) -> Self {
         Self {
-            part,
-            position,
-            crashes: times.len(),
-            proven_at: times.get(MIN_CRASHES - 1).copied().unwrap_or_default(),
-            last_crash,
-        }
-    }
-
-    fn into_blocked(self, last_trial: Option<units::Timestamp>) -> BlockedPart {
-        BlockedPart {
-            part: self.part,
-            crashes: self.crashes,
-            last_crash: self.last_crash,
+            part: evidence.part,
+            crashes: evidence.crashes(),
+            last_crash: evidence.last_crash,
             last_trial,
             is_adopted: false,
         }
     }
-}
 
-impl BlockedPart {
     /// Earliest time of the next trial.
     fn next_trial(&self) -> units::Timestamp {
         let extra = u32::try_from(self.crashes.saturating_sub(MIN_CRASHES)).unwrap_or(u32::MAX);
