Count the start of a response that is a single event

Cause, found while reading the change: a prompt counted as sound from the second event of its response on, so that routes with responses of one event never gave evidence. Nothing was blocked, as nothing else started.

Change: the end of a response with an event counts as well.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,7 @@
     /// Most recent event, or the start of the attempt.
     progressed_at: Instant,
     is_ended: bool,
-    /// A second event has shown that the engine survives the request.
+    /// A second event, or the end, has shown that the engine survives the request.
     is_proven: bool,
 }
 
@@ -164,16 +164,24 @@
                 .record_first_event(self.timing.first_event);
             return;
         };
+        self.prove_prompt();
+        let gap = now.saturating_duration_since(earlier);
+        self.timing.longest_gap = self.timing.longest_gap.max(gap);
+    }
+
+    /// Records once that the engine survives the request.
+    fn prove_prompt(&mut self) {
         if !self.is_proven {
             self.is_proven = true;
             self.dispatcher.record_start(&self.plan);
         }
-        let gap = now.saturating_duration_since(earlier);
-        self.timing.longest_gap = self.timing.longest_gap.max(gap);
     }
 
     fn finish(&mut self) {
         self.is_ended = true;
+        if self.last_event_at.is_some() {
+            self.prove_prompt();
+        }
         let Some(attempt) = self.attempt.take() else {
             return;
         };
