--- a/crates/broker/tests/commands.rs
+++ b/crates/broker/tests/commands.rs
@@ -4,50 +4,24 @@
 
 use std::{sync::Arc, time};
 
-use broker::{engine, message, service::BrokerHandler};
+use broker::{message, service::BrokerHandler};
 use decisions::engine_status;
-use futures::future::BoxFuture;
 
 /// Time until a command times out.
 const COMMAND_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Engine with one loaded adapter that never responds to a command.
-struct UnresponsiveEngine;
-
-impl engine::EngineControl for UnresponsiveEngine {
-    fn fetch_report(
-        &self,
-        _model: &str,
-    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
-        let loaded = engine_status::EngineAdapter {
-            name: "held".to_owned(),
-            version: 1,
-        };
-        let status = engine_status::EngineStatus {
-            incarnation: 1,
-            model: engine_status::ModelState::Loaded,
-            loaded: vec![loaded],
-            ..engine_status::EngineStatus::default()
-        };
-        Box::pin(async move {
-            Ok(engine::EngineReport {
-                status,
-                sequence: 1,
-            })
-        })
-    }
-
-    fn send_command(
-        &self,
-        _command: engine::FencedCommand,
-    ) -> BoxFuture<'_, Result<engine::CommandReply, engine::EngineError>> {
-        Box::pin(async {
-            tokio::time::sleep(COMMAND_TIMEOUT).await;
-            Err(engine::EngineError::NoResponse {
-                message: "no response".to_owned(),
-            })
-        })
-    }
+fn unresponsive_engine() -> support::FakeEngine {
+    let mut engine = support::FakeEngine::new(1, engine_status::ModelState::Loaded);
+    engine.command_timeout = Some(COMMAND_TIMEOUT);
+    let held = engine_status::EngineAdapter {
+        name: "held".to_owned(),
+        version: 1,
+    };
+    let mut status = engine.status.lock().unwrap();
+    status.as_mut().unwrap().loaded.push(held);
+    drop(status);
+    engine
 }
 
 fn call(number: u64, adapter: &str) -> message::PermitCall {
@@ -66,7 +40,7 @@
 // Guards against permits for a free engine that are delayed by a command without a response.
 #[tokio::test(start_paused = true)]
 async fn pending_command_does_not_delay_permits() {
-    let (broker, task) = support::start(Box::new(UnresponsiveEngine));
+    let (broker, task) = support::start(Box::new(unresponsive_engine()));
     let ordering = Arc::clone(&broker);
     let cold = tokio::spawn(async move { ordering.request_permit(call(1, "missing")).await });
     // By then, the command to load the missing adapter has been sent.
@@ -92,7 +66,7 @@
 // which the entry does not know.
 #[tokio::test(start_paused = true)]
 async fn known_adapters_are_omitted() {
-    let (broker, task) = support::start(Box::new(UnresponsiveEngine));
+    let (broker, task) = support::start(Box::new(unresponsive_engine()));
     let first = broker.request_permit(call(1, "held")).await.view;
     let adapters = first.adapters.unwrap();
     assert_eq!(adapters.loaded, [("held".to_owned(), 1)]);
--- a/crates/broker/tests/lost_engine.rs
+++ b/crates/broker/tests/lost_engine.rs
@@ -2,57 +2,14 @@
 
 mod support;
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time,
-};
+use std::time;
 
-use broker::{engine, message, service::BrokerHandler};
+use broker::{message, service::BrokerHandler};
 use decisions::engine_status;
-use futures::future::BoxFuture;
 
 const INCARNATION: u64 = 1_000;
 const PART: u64 = 5;
 
-/// Engine that reports until it crashes.
-#[derive(Clone, Default)]
-struct CrashingEngine {
-    has_crashed: Arc<AtomicBool>,
-}
-
-impl engine::EngineControl for CrashingEngine {
-    fn fetch_report(
-        &self,
-        _model: &str,
-    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
-        let status = engine_status::EngineStatus {
-            incarnation: INCARNATION,
-            model: engine_status::ModelState::Loaded,
-            ..engine_status::EngineStatus::default()
-        };
-        let has_crashed = self.has_crashed.load(Ordering::Relaxed);
-        Box::pin(async move {
-            if has_crashed {
-                return Err(engine::EngineError::NotListening);
-            }
-            Ok(engine::EngineReport {
-                status,
-                sequence: 0,
-            })
-        })
-    }
-
-    fn send_command(
-        &self,
-        _command: engine::FencedCommand,
-    ) -> BoxFuture<'_, Result<engine::CommandReply, engine::EngineError>> {
-        Box::pin(async { Ok(engine::CommandReply::Accepted) })
-    }
-}
-
 fn call(number: u64) -> message::PermitCall {
     message::PermitCall {
         prompt_parts: vec![PART],
@@ -64,14 +21,14 @@
 // idle one, so that all requests are sent there.
 #[tokio::test(start_paused = true)]
 async fn crashed_engine_grants_no_permits() {
-    let engine = CrashingEngine::default();
+    let engine = support::FakeEngine::new(INCARNATION, engine_status::ModelState::Loaded);
     let (broker, task) = support::start(Box::new(engine.clone()));
     let granted = broker.request_permit(call(1)).await;
     assert_eq!(
         granted.decision,
         message::PermitDecision::Granted { version: None }
     );
-    engine.has_crashed.store(true, Ordering::Relaxed);
+    *engine.status.lock().unwrap() = None;
     tokio::time::sleep(time::Duration::from_millis(50)).await;
     let asked = tokio::time::Instant::now();
     let reply = broker.request_permit(call(2)).await;
--- a/crates/broker/tests/replaced_engine.rs
+++ b/crates/broker/tests/replaced_engine.rs
@@ -2,51 +2,14 @@
 
 mod support;
 
-use std::{
-    sync::{Arc, Mutex},
-    time,
-};
+use std::{sync::Arc, time};
 
-use broker::{engine, message, service::BrokerHandler};
+use broker::{message, service::BrokerHandler};
 use decisions::engine_status;
-use futures::future::BoxFuture;
 
 const OLD: u64 = 1_000;
 const NEW: u64 = 2_000;
 
-/// Restarted engine without a model that records the ids in its commands.
-#[derive(Clone, Default)]
-struct RestartedEngine {
-    commanded: Arc<Mutex<Vec<String>>>,
-}
-
-impl engine::EngineControl for RestartedEngine {
-    fn fetch_report(
-        &self,
-        _model: &str,
-    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
-        let status = engine_status::EngineStatus {
-            incarnation: NEW,
-            model: engine_status::ModelState::Empty,
-            ..engine_status::EngineStatus::default()
-        };
-        Box::pin(async move {
-            Ok(engine::EngineReport {
-                status,
-                sequence: 0,
-            })
-        })
-    }
-
-    fn send_command(
-        &self,
-        command: engine::FencedCommand,
-    ) -> BoxFuture<'_, Result<engine::CommandReply, engine::EngineError>> {
-        self.commanded.lock().unwrap().push(command.engine);
-        Box::pin(async { Ok(engine::CommandReply::Accepted) })
-    }
-}
-
 fn is_replaced(reply: &message::PermitReply) -> bool {
     let message::PermitDecision::Refused { reason, .. } = reply.decision else {
         return false;
@@ -58,7 +21,7 @@
 // refuses, which delay the load of its model.
 #[tokio::test(start_paused = true)]
 async fn former_id_gets_no_permit_and_no_command() {
-    let engine = RestartedEngine::default();
+    let engine = support::FakeEngine::new(NEW, engine_status::ModelState::Empty);
     let (broker, _) = support::start(Box::new(engine.clone()));
     for number in 1..4 {
         let asked = tokio::time::Instant::now();
@@ -75,7 +38,7 @@
 // Guards against a load of the model that waits for a backoff once the engine's id is known.
 #[tokio::test(start_paused = true)]
 async fn present_id_is_commanded_at_once() {
-    let engine = RestartedEngine::default();
+    let engine = support::FakeEngine::new(NEW, engine_status::ModelState::Empty);
     let (broker, _) = support::start(Box::new(engine.clone()));
     broker.request_permit(support::call(1, "former", OLD)).await;
     let waiting = Arc::clone(&broker);
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -1,11 +1,73 @@
-//! A broker of a test's engine, without listeners.
+//! A broker of a test's engine, without listeners, and that engine.
 
-use std::{sync::Arc, time};
+use std::{
+    sync::{Arc, Mutex},
+    time,
+};
 
 use broker::{engine, message, metrics, server, settings};
+use decisions::engine_status;
+use futures::future::BoxFuture;
 use telemetry::logs;
 use tokio::task;
 
+/// Engine that reports a status and records its commands.
+#[derive(Clone, Default)]
+pub struct FakeEngine {
+    /// `None` if the engine does not listen.
+    pub status: Arc<Mutex<Option<engine_status::EngineStatus>>>,
+    /// Ids that the commands name.
+    pub commanded: Arc<Mutex<Vec<String>>>,
+    /// Time after which a command gets no response; it is accepted at once if not set.
+    pub command_timeout: Option<time::Duration>,
+}
+
+impl FakeEngine {
+    /// Engine of an incarnation with a model in a state.
+    pub fn new(incarnation: u64, model: engine_status::ModelState) -> Self {
+        let status = engine_status::EngineStatus {
+            incarnation,
+            model,
+            ..engine_status::EngineStatus::default()
+        };
+        Self {
+            status: Arc::new(Mutex::new(Some(status))),
+            ..Self::default()
+        }
+    }
+}
+
+impl engine::EngineControl for FakeEngine {
+    fn fetch_report(
+        &self,
+        _model: &str,
+    ) -> BoxFuture<'_, Result<engine::EngineReport, engine::EngineError>> {
+        let status = self.status.lock().unwrap().clone();
+        let report = status.map(|status| engine::EngineReport {
+            status,
+            sequence: 0,
+        });
+        Box::pin(async { report.ok_or(engine::EngineError::NotListening) })
+    }
+
+    fn send_command(
+        &self,
+        command: engine::FencedCommand,
+    ) -> BoxFuture<'_, Result<engine::CommandReply, engine::EngineError>> {
+        self.commanded.lock().unwrap().push(command.engine);
+        let timeout = self.command_timeout;
+        Box::pin(async move {
+            let Some(timeout) = timeout else {
+                return Ok(engine::CommandReply::Accepted);
+            };
+            tokio::time::sleep(timeout).await;
+            Err(engine::EngineError::NoResponse {
+                message: "no response".to_owned(),
+            })
+        })
+    }
+}
+
 /// Starts the broker of an engine; the task ends with the test's runtime.
 pub fn start(
     engine: Box<dyn engine::EngineControl>,
--- a/crates/decisions/tests/crash_log.rs
+++ b/crates/decisions/tests/crash_log.rs
@@ -1,21 +1,12 @@
 //! Suspects of an engine's crash.
 
-use std::time;
+mod support;
 
-use decisions::{crash_log::*, engine_status::*, permits::*, slot_broker::*, units};
+use decisions::{crash_log::*, engine_status::*, permits::*, slot_broker::*};
+use support::{LIMITS, at};
 
-const LIMITS: BrokerLimits = BrokerLimits {
-    adapter_slots: 3,
-    parallel_loads: 2,
-    batch_slots: 4,
-    unstarted: 3,
-};
 const INCARNATION: u64 = 7;
 
-fn at(millis: u64) -> units::Timestamp {
-    units::Timestamp(millis * 1000)
-}
-
 fn report(started: &[&str]) -> EngineStatus {
     let started = started.iter().map(|request| StartedRequest {
         request: (*request).to_owned(),
@@ -30,21 +21,16 @@
 }
 
 fn request(number: u64, parts: &[u64]) -> PermitRequest {
-    let due = at(0) + time::Duration::from_secs(4);
     PermitRequest {
-        id: PermitId { entry: 1, number },
-        adapter: None,
-        request: format!("request-{number}"),
-        priority: 1,
         prompt_parts: parts.to_vec(),
-        prompt_tokens: 100,
-        output_tokens: 10,
-        objective: due,
-        start_deadline: due,
-        deadline: due,
+        ..support::request(number)
     }
 }
 
+fn release(broker: &mut SlotBroker, number: u64, millis: u64) {
+    broker.release(PermitId { entry: 1, number }, at(millis));
+}
+
 fn broker_with_permits(prompts: &[&[u64]]) -> SlotBroker {
     let mut broker = SlotBroker::new(LIMITS);
     broker.observe(&report(&[]), at(0));
@@ -69,13 +55,7 @@
     let mut broker = broker_with_permits(&[&[1, 2], &[1, 3], &[4]]);
     broker.observe(&report(&["request-0"]), at(10));
     broker.observe(&report(&["request-0", "request-1"]), at(190));
-    broker.release(
-        PermitId {
-            entry: 1,
-            number: 2,
-        },
-        at(195),
-    );
+    release(&mut broker, 2, 195);
     assert_eq!(
         suspects(broker.record_crash(at(200))),
         [(1, 0), (3, 1), (4, 0)]
@@ -87,13 +67,7 @@
 #[test]
 fn withdrawn_request_is_a_suspect_only_for_a_short_time() {
     let mut broker = broker_with_permits(&[&[1]]);
-    broker.release(
-        PermitId {
-            entry: 1,
-            number: 0,
-        },
-        at(10),
-    );
+    release(&mut broker, 0, 10);
     assert_eq!(suspects(broker.record_crash(at(900))), []);
 }
 
--- a/crates/decisions/tests/model_load.rs
+++ b/crates/decisions/tests/model_load.rs
@@ -1,14 +1,17 @@
 //! Requests at an engine that has restarted without its base model.
 
+#[allow(dead_code)]
+mod support;
+
 use std::time;
 
 use decisions::{
     engine_status::{EngineAdapter, EngineCommand, EngineStatus, ModelState},
     model_load::ModelLoad,
-    permits::{AdapterRequirement, PermitId, PermitOutcome, PermitRefusal, PermitRequest},
+    permits::{AdapterRequirement, PermitOutcome, PermitRefusal, PermitRequest},
     slot_broker::{BrokerLimits, SlotBroker},
-    units,
 };
+use support::at;
 use test_case::test_case;
 
 const LOAD_TIME: time::Duration = time::Duration::from_millis(720);
@@ -21,10 +24,6 @@
 /// Time from a request to the disconnection of its caller.
 const PATIENCE_MS: u64 = 4_000;
 
-fn at(millis: u64) -> units::Timestamp {
-    units::Timestamp(millis * 1_000)
-}
-
 fn status(model: ModelState, is_busy: bool, loaded: &[&str]) -> EngineStatus {
     EngineStatus {
         incarnation: 7,
@@ -47,19 +46,15 @@
 
 fn request(number: u64, received_ms: u64) -> PermitRequest {
     PermitRequest {
-        id: PermitId { entry: 1, number },
         adapter: Some(AdapterRequirement {
             name: format!("a{number}"),
             version: 0,
         }),
-        request: format!("request-{number}"),
-        priority: 1,
-        prompt_parts: Vec::new(),
-        prompt_tokens: 2_000,
         output_tokens: 20,
         objective: at(received_ms + 900),
         start_deadline: at(received_ms + PATIENCE_MS),
         deadline: at(received_ms + PATIENCE_MS),
+        ..support::request(number)
     }
 }
 
--- a/crates/decisions/tests/slot_broker.rs
+++ b/crates/decisions/tests/slot_broker.rs
@@ -1,21 +1,13 @@
 //! Adapter slots and permits of one engine.
 
+mod support;
+
 use std::time;
 
-use decisions::{engine_status::*, permits::*, slot_broker::*, units};
+use decisions::{engine_status::*, permits::*, slot_broker::*};
+use support::{LIMITS, at};
 use test_case::test_case;
 
-const LIMITS: BrokerLimits = BrokerLimits {
-    adapter_slots: 3,
-    parallel_loads: 2,
-    batch_slots: 4,
-    unstarted: 3,
-};
-
-fn at(millis: u64) -> units::Timestamp {
-    units::Timestamp(millis * 1000)
-}
-
 fn loaded(name: &str, version: u32) -> EngineAdapter {
     EngineAdapter {
         name: name.to_owned(),
@@ -34,19 +26,11 @@
 
 fn request(number: u64, adapter: &str, version: u32) -> PermitRequest {
     PermitRequest {
-        id: PermitId { entry: 1, number },
         adapter: Some(AdapterRequirement {
             name: adapter.to_owned(),
             version,
         }),
-        request: format!("request-{number}"),
-        priority: 1,
-        prompt_parts: Vec::new(),
-        prompt_tokens: 2000,
-        output_tokens: 10,
-        objective: at(800),
-        start_deadline: at(4000),
-        deadline: at(4000),
+        ..support::request(number)
     }
 }
 
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -27,9 +27,7 @@
     status: &str,
     code: &str,
 ) {
-    let agent = FakeAgent::new(1, support::text_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::text_parts()).await;
     let entry = support::start_entry(&[&agent], DRAIN_TIMEOUT).await;
     let answer = support::send_with(entry.address(), method, path, headers, body).await;
     assert!(
@@ -44,9 +42,7 @@
 // Guards against a body that exhausts the memory of the entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn oversized_body_is_rejected() {
-    let agent = FakeAgent::new(1, support::text_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::text_parts()).await;
     let entry = support::start_entry(&[&agent], DRAIN_TIMEOUT).await;
     let body = format!(r#"{{"model": "a", "prompt": "{}"}}"#, "x".repeat(5 << 20));
     let answer = support::try_send(entry.address(), "/v1/completions", &body).await;
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -41,9 +41,7 @@
     let one = FakeAgent::new(1, support::service_parts(), faults)
         .start(LOOPBACK)
         .await;
-    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let other = support::start_agent(2, support::service_parts()).await;
     let entry = support::start_entry(&[&one, &other], DRAIN_TIMEOUT).await;
     let response = support::order(entry.address()).await;
     assert!(response.contains("order 7 stored"), "{response}");
@@ -55,16 +53,8 @@
 // run (I4, I5).
 #[tokio::test(flavor = "multi_thread")]
 async fn call_of_a_lost_incarnation_is_unknown() {
-    let held = Faults {
-        hold_after: Some(0),
-        ..Faults::default()
-    };
-    let one = FakeAgent::new(1, support::service_parts(), held)
-        .start(LOOPBACK)
-        .await;
-    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let one = support::start_held_agent(support::service_parts(), 0).await;
+    let other = support::start_agent(2, support::service_parts()).await;
     let entry = support::start_entry(&[&one, &other], DRAIN_TIMEOUT).await;
     let call = tokio::spawn(support::order(entry.address()));
     support::eventually(|| async { one.agent.runs() == 1 }).await;
@@ -82,13 +72,7 @@
 // Guards against a completion that fails when its agent is lost before the first token.
 #[tokio::test(flavor = "multi_thread")]
 async fn completion_of_a_lost_incarnation_runs_again() {
-    let held = Faults {
-        hold_after: Some(0),
-        ..Faults::default()
-    };
-    let one = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let one = support::start_held_agent(support::text_parts(), 0).await;
     let entry = support::start_entry(&[&one], DRAIN_TIMEOUT).await;
     let call = tokio::spawn(support::complete(entry.address()));
     support::eventually(|| async { one.agent.runs() == 1 }).await;
@@ -106,13 +90,7 @@
 // Guards against restarting a response whose first token has already reached the caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn started_response_is_not_restarted() {
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let one = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let one = support::start_held_agent(support::text_parts(), 1).await;
     let other = FakeAgent::new(
         2,
         support::text_parts(),
@@ -155,9 +133,7 @@
     let one = FakeAgent::new(1, support::service_parts(), full)
         .start(LOOPBACK)
         .await;
-    let other = FakeAgent::new(2, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let other = support::start_agent(2, support::service_parts()).await;
     let entry = support::start_entry(&[&one, &other], DRAIN_TIMEOUT).await;
     let response = support::order(entry.address()).await;
     assert!(response.contains("order 7 stored"), "{response}");
@@ -170,12 +146,8 @@
 // Guards against new requests for an agent that reports that it is leaving (I6).
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_agent_gets_no_new_requests() {
-    let one = FakeAgent::new(1, support::text_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
-    let other = FakeAgent::new(2, support::text_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let one = support::start_agent(1, support::text_parts()).await;
+    let other = support::start_agent(2, support::text_parts()).await;
     let entry = support::start_entry(&[&one, &other], DRAIN_TIMEOUT).await;
     // The policy prefers one agent for this adapter; that agent leaves.
     support::complete(entry.address()).await;
@@ -204,13 +176,7 @@
 // Guards against a shutdown that interrupts an open request or accepts a new one (I7).
 #[tokio::test(flavor = "multi_thread")]
 async fn shutdown_finishes_open_requests_and_refuses_new_ones() {
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let agent = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_held_agent(support::text_parts(), 1).await;
     let entry = support::start_entry(&[&agent], DRAIN_TIMEOUT).await;
     let address = entry.address();
     let call = tokio::spawn(support::complete(address));
@@ -233,13 +199,7 @@
 // Guards against a shutdown that waits without a limit or does not report aborted requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_deadline_aborts_and_counts_open_requests() {
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let agent = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_held_agent(support::text_parts(), 1).await;
     let entry = support::start_entry(&[&agent], time::Duration::from_millis(50)).await;
     let call = tokio::spawn(support::complete(entry.address()));
     support::eventually(|| async { agent.agent.runs() == 1 }).await;
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -188,13 +188,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_one_entry_share_the_response(is_leaving: bool) {
     let log = LogServer::start().await;
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let agent = FakeAgent::new(1, support::service_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_held_agent(support::service_parts(), 1).await;
     let entry = ready_entry(&agent, &log).await;
     let address = entry.address();
     let first = tokio::spawn(async move { order(address, "coffee", "").await });
@@ -229,9 +223,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn key_with_another_body_is_rejected() {
     let log = LogServer::start().await;
-    let agent = FakeAgent::new(1, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::service_parts()).await;
     let entry = ready_entry(&agent, &log).await;
     order(entry.address(), "coffee", "").await;
     let answer = order(entry.address(), "tea", "").await;
@@ -246,9 +238,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn log_outage_is_not_run() {
     let log = LogServer::start().await;
-    let agent = FakeAgent::new(1, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::service_parts()).await;
     let entry = ready_entry(&agent, &log).await;
     log.log.set_down(time::Duration::from_mins(1));
     let answer = order(entry.address(), "coffee", "x-deadline-ms: 300\r\n").await;
@@ -264,9 +254,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn only_published_versions_are_served() {
     let mut log = LogServer::start().await;
-    let agent = FakeAgent::new(1, support::text_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::text_parts()).await;
     let entry = ready_entry(&agent, &log).await;
     let address = entry.address();
     let post = |model: &str| {
@@ -292,9 +280,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn key_at_two_entries_survives_a_log_outage() {
     let log = LogServer::start().await;
-    let agent = FakeAgent::new(1, support::service_parts(), Faults::default())
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_agent(1, support::service_parts()).await;
     let one = ready_entry(&agent, &log).await;
     let other = ready_entry(&agent, &log).await;
     log.log.set_down(time::Duration::from_millis(400));
@@ -311,13 +297,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn removed_version_finishes_and_accepts_no_more() {
     let mut log = LogServer::start().await;
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let agent = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let agent = support::start_held_agent(support::text_parts(), 1).await;
     let entry = ready_entry(&agent, &log).await;
     let address = entry.address();
     let post = || async move {
--- a/crates/entry/tests/membership.rs
+++ b/crates/entry/tests/membership.rs
@@ -84,13 +84,7 @@
 // against new requests for that agent (I6).
 #[tokio::test(flavor = "multi_thread")]
 async fn poll_timeout_at_a_leaving_agent_loses_nothing() {
-    let held = Faults {
-        hold_after: Some(1),
-        ..Faults::default()
-    };
-    let one = FakeAgent::new(1, support::text_parts(), held)
-        .start(LOOPBACK)
-        .await;
+    let one = support::start_held_agent(support::text_parts(), 1).await;
     let entry = support::start_entry(&[&one], DRAIN_TIMEOUT).await;
     let address = entry.address();
     let call = tokio::spawn(support::complete(address));
--- a/crates/entry/tests/support/start.rs
+++ b/crates/entry/tests/support/start.rs
@@ -5,7 +5,22 @@
 use entry::{server::EntryServer, settings::EntrySettings};
 use peers::message;
 
-use super::{LOOPBACK, RunningAgent, eventually, send};
+use super::{FakeAgent, Faults, LOOPBACK, RunningAgent, eventually, send};
+
+/// Starts an agent without faults.
+pub async fn start_agent(incarnation: u64, parts: Vec<message::StreamPart>) -> RunningAgent {
+    let agent = FakeAgent::new(incarnation, parts, Faults::default());
+    agent.start(LOOPBACK).await
+}
+
+/// Starts an agent that pauses each stream after a number of parts.
+pub async fn start_held_agent(parts: Vec<message::StreamPart>, held_after: usize) -> RunningAgent {
+    let held = Faults {
+        hold_after: Some(held_after),
+        ..Faults::default()
+    };
+    FakeAgent::new(1, parts, held).start(LOOPBACK).await
+}
 
 /// Completion response with three parts of text.
 pub fn text_parts() -> Vec<message::StreamPart> {
