Decode the entries of the instance list one by one

Reported by other operators of the list of replicas: one odd entry of another writer stops the machines from following it. The instance list of the own interface had this fault: the list was decoded as a whole, so that nested, unknown or out-of-range values in one entry failed it.

Change: entries are decoded one by one; those that cannot be read are counted, and the entry process logs their number when it changes.

--- a/crates/entry/src/discovery.rs
+++ b/crates/entry/src/discovery.rs
@@ -30,6 +30,8 @@
     channels: Vec<channels::ChannelTask>,
     listed: Vec<membership::ListedInstance>,
     is_list_unavailable: bool,
+    /// Entries of the newest list that could not be read.
+    unreadable_count: usize,
 }
 
 /// Running discovery task; ending it closes all channels.
@@ -44,6 +46,7 @@
             channels: Vec::new(),
             listed: Vec::new(),
             is_list_unavailable: false,
+            unreadable_count: 0,
         };
         Self(tokio::spawn(discovery.run()))
     }
@@ -78,9 +81,10 @@
             .collect();
         if let Some(list) = &self.context.list {
             match list.list().await {
-                Ok(instances) => {
+                Ok(listing) => {
                     self.is_list_unavailable = false;
-                    let agents = instances.iter().filter_map(listed_agent);
+                    self.record_unreadable(listing.unreadable);
+                    let agents = listing.instances.iter().filter_map(listed_agent);
                     // The state in the instance list takes precedence over the settings.
                     for agent in agents {
                         listed.retain(|other| other.address != agent.address);
@@ -102,6 +106,14 @@
         self.listed = listed;
     }
 
+    /// Logs entries of the list that cannot be read, when their number changes.
+    fn record_unreadable(&mut self, count: usize) {
+        if std::mem::replace(&mut self.unreadable_count, count) != count {
+            let message = format!("{count} entries of the instance list cannot be read");
+            logs::warn(&self.context.logger, events::RECORD_UNREADABLE, &message);
+        }
+    }
+
     fn apply_change(&mut self, change: membership::MemberChange) {
         let position = self
             .channels
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -23,6 +23,7 @@
     rt::TokioExecutor,
 };
 use serde::{Deserialize, Serialize, de};
+use serde_json::value::RawValue;
 use serde_with::{base64::Base64, serde_as};
 
 use crate::{instances, log, weights};
@@ -68,11 +69,33 @@
 }
 
 /// Response with the instance list.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct InstancesResponse {
     pub instances: Vec<instances::Instance>,
 }
 
+/// Response with the instance list, whose entries are decoded one by one: one that cannot be read
+/// must not hide the others.
+#[derive(Deserialize)]
+struct RawInstancesResponse<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
+impl From<RawInstancesResponse<'_>> for instances::InstanceListing {
+    fn from(response: RawInstancesResponse<'_>) -> Self {
+        let mut listing = Self::default();
+        for entry in response.instances {
+            match serde_json::from_str(entry.get()) {
+                Ok(instance) => listing.instances.push(instance),
+                Err(_) => listing.unreadable += 1,
+            }
+        }
+        listing.instances.sort_unstable();
+        listing
+    }
+}
+
 /// Response to a load above the rate limit.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct RateLimitResponse {
@@ -258,7 +281,7 @@
 impl instances::InstanceList for PlatformClient {
     fn list(
         &self,
-    ) -> BoxFuture<'_, Result<Vec<instances::Instance>, instances::InstanceListError>> {
+    ) -> BoxFuture<'_, Result<instances::InstanceListing, instances::InstanceListError>> {
         let unavailable = |message| instances::InstanceListError::Unavailable { message };
         Box::pin(async move {
             let response = self
@@ -268,11 +291,9 @@
             if response.status != http::StatusCode::OK {
                 return Err(unavailable(format!("status {}", response.status)));
             }
-            let response: InstancesResponse = serde_json::from_slice(&response.body)
+            let response: RawInstancesResponse<'_> = serde_json::from_slice(&response.body)
                 .map_err(|error| unavailable(error.to_string()))?;
-            let mut list = response.instances;
-            list.sort_unstable();
-            Ok(list)
+            Ok(response.into())
         })
     }
 }
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -34,6 +34,15 @@
     pub state: InstanceState,
 }
 
+/// Instances of one read of the list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InstanceListing {
+    /// Sorted by address.
+    pub instances: Vec<Instance>,
+    /// Entries that name no instance, for example because another writer left them.
+    pub unreadable: usize,
+}
+
 /// Reason why the list cannot be read.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum InstanceListError {
@@ -43,6 +52,6 @@
 
 /// Instance list of the platform.
 pub trait InstanceList: Send + Sync {
-    /// All instances, sorted by address.
-    fn list(&self) -> BoxFuture<'_, Result<Vec<Instance>, InstanceListError>>;
+    /// Reads all instances.
+    fn list(&self) -> BoxFuture<'_, Result<InstanceListing, InstanceListError>>;
 }
--- a/crates/platform/src/stand_in/instances.rs
+++ b/crates/platform/src/stand_in/instances.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::instances::{Instance, InstanceList, InstanceListError};
+use crate::instances::{Instance, InstanceList, InstanceListError, InstanceListing};
 
 /// Maximum number of changes that are not visible yet.
 const MAX_PENDING: usize = 1_024;
@@ -60,7 +60,7 @@
 }
 
 impl InstanceList for MemoryInstances {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<Instance>, InstanceListError>> {
+    fn list(&self) -> BoxFuture<'_, Result<InstanceListing, InstanceListError>> {
         Box::pin(async move {
             let delay = self.state.lock().delay;
             if !delay.is_zero() {
@@ -82,7 +82,10 @@
                     state.visible = next.list;
                 }
             }
-            Ok(state.visible.clone())
+            Ok(InstanceListing {
+                instances: state.visible.clone(),
+                unreadable: 0,
+            })
         })
     }
 }
--- a/crates/platform/src/stand_in/server.rs
+++ b/crates/platform/src/stand_in/server.rs
@@ -146,7 +146,9 @@
     }
     if path == "/instances" && is_get {
         return Ok(match services.instances.list().await {
-            Ok(instances) => ok_response(&protocol::InstancesResponse { instances }),
+            Ok(listing) => ok_response(&protocol::InstancesResponse {
+                instances: listing.instances,
+            }),
             Err(_) => empty_response(http::StatusCode::SERVICE_UNAVAILABLE),
         });
     }
--- a/crates/platform/tests/stand_in.rs
+++ b/crates/platform/tests/stand_in.rs
@@ -60,7 +60,7 @@
         state: InstanceState::Leaving,
     };
     instances.set(vec![instance.clone()]);
-    assert_eq!(client.list().await, Ok(vec![instance]));
+    assert_eq!(client.list().await.unwrap().instances, [instance]);
     client.load("notes@1").await.unwrap();
 
     server.close().await;
@@ -102,9 +102,9 @@
         data_centre: "d1".to_owned(),
         state: InstanceState::Live,
     }]);
-    assert_eq!(list.list().await.unwrap().len(), 0);
+    assert_eq!(list.list().await.unwrap().instances.len(), 0);
     tokio::time::sleep(Duration::from_secs(5)).await;
-    assert_eq!(list.list().await.unwrap().len(), 1);
+    assert_eq!(list.list().await.unwrap().instances.len(), 1);
 }
 
 // Guards against a stand-in store that is faster than the platform's, which would make every
