Show that a removed replica still gets requests after a gateway was cut off

Cause: for 2.5 s after a gateway can read the store again, it keeps replicas whose records are missing, at most 0.85 of the leave time after the read that shows it. The read may come 1.3 s after the removal, and the period may end after the machine is in touch again.

--- /dev/null
+++ b/review/standin/standin.py
@@ -0,0 +1,420 @@
+"""Stand-ins for the platform's store, replicas and clients, and a launcher of the project's processes.
+
+They follow the users' pages (PROTOCOL.md, DEPLOY.md) and use Python's standard library only. All
+addresses are loopback addresses; all ports are free ones that the system chose.
+"""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import queue
+import shutil
+import signal
+import socket
+import socketserver
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "target/release/cowslipdeal"
+HOST = "site.example"
+MODEL = "base"
+
+
+def free_port(ip="127.0.0.1"):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class Record:
+    """What was sent, answered and run, with the seconds since the start."""
+
+    def __init__(self, folder):
+        self.started = time.monotonic()
+        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.lock = threading.Lock()
+
+    def now(self):
+        return time.monotonic() - self.started
+
+    def write(self, text):
+        with self.lock:
+            self.file.write(f"{self.now():8.3f} {text}\n")
+            self.file.flush()
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 1024
+
+    def handle_error(self, request, client_address):
+        pass  # a peer that closes its connection is no error here
+
+    def start(self):
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+        return self
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def reply(self, status, body=b"", headers=()):
+        self.send_response_only(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+
+class Store:
+    """The platform's metadata store: keyed topics with long polls. It loses nothing."""
+
+    def __init__(self, ip="127.0.0.1"):
+        self.topics = {}
+        self.changed = threading.Condition()
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.serve(self)
+
+        self.server = Server((ip, 0), StoreHandler).start()
+        self.address = "%s:%d" % self.server.server_address
+
+    def write(self, topic, key, value):
+        """Appends a record; returns when the store has it, which is the ack."""
+        data = b"" if value is None else json.dumps(value).encode()
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key, data))
+            self.changed.notify_all()
+
+    def serve(self, request):
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        topic = query.get("topic", "")
+        if url.path == "/api/log-newest":
+            with self.changed:
+                records = list(self.topics.get(topic, []))
+            newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+            keys = sorted(key for key, (_, value) in newest.items() if value)
+            keys = [key for key in keys if key > query.get("after", "")]
+            page, rest = keys[:500], keys[500:]
+            items = [
+                {
+                    "key": key,
+                    "value": base64.b64encode(newest[key][1]).decode(),
+                    "offset": newest[key][0],
+                }
+                for key in page
+            ]
+            body = {"items": items, "has_more": bool(rest), "end": len(records)}
+            request.reply(200, json.dumps(body).encode())
+        elif url.path == "/api/log-read":
+            start = int(query.get("from", 0))
+            until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+            with self.changed:
+                while len(self.topics.get(topic, [])) <= start and time.monotonic() < until:
+                    self.changed.wait(until - time.monotonic())
+                records = list(self.topics.get(topic, []))
+            body = struct.pack(">QQ", len(records), 0)
+            for key, value in records[start:]:
+                content = bytes([len(key)]) + key.encode() + value
+                body += struct.pack(">I", len(content)) + content
+            request.reply(200, body)
+        else:
+            request.reply(404)
+
+
+class Proxy:
+    """A TCP proxy that can be cut: then it holds all bytes back and opens no connection."""
+
+    def __init__(self, target, ip="127.0.0.1"):
+        host, port = target.rsplit(":", 1)
+        self.target = (host, int(port))
+        self.is_open = threading.Event()
+        self.is_open.set()
+        self.listener = socket.create_server((ip, 0), backlog=64)
+        self.address = "%s:%d" % self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def cut(self):
+        self.is_open.clear()
+
+    def heal(self):
+        self.is_open.set()
+
+    def accept(self):
+        while True:
+            peer, _ = self.listener.accept()
+            threading.Thread(target=self.connect, args=(peer,), daemon=True).start()
+
+    def connect(self, peer):
+        self.is_open.wait()
+        try:
+            other = socket.create_connection(self.target)
+        except OSError:
+            peer.close()
+            return
+        for one, two in ((peer, other), (other, peer)):
+            threading.Thread(target=self.copy, args=(one, two), daemon=True).start()
+
+    def copy(self, one, two):
+        try:
+            while data := one.recv(65536):
+                self.is_open.wait()
+                two.sendall(data)
+        except OSError:
+            pass
+        for side in (one, two):
+            try:
+                side.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+class Replica:
+    """A replica of a plain service. `work` gets the handler and the body and sends the answer."""
+
+    def __init__(self, record, name, service, ip="127.0.0.1", slots=64, work_s=0.005, port=0):
+        self.record, self.id, self.service, self.slots = record, name, service, slots
+        self.work_s = work_s
+        self.born = int(time.time() * 1000)
+        self.arrived = []
+        self.lock = threading.Lock()
+        replica = self
+
+        class ReplicaHandler(Handler):
+            def do_GET(self):
+                replica.serve(self)
+
+            def do_POST(self):
+                replica.serve(self)
+
+        self.server = Server((ip, port), ReplicaHandler).start()
+        self.address = "%s:%d" % self.server.server_address
+
+    def entry(self, state="ready"):
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "north",
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": self.born,
+        }
+
+    def serve(self, request):
+        body = request.read_body()
+        attempt = request.headers.get("Cowslipdeal-Attempt-Id", "")
+        expected = request.headers.get("Cowslipdeal-Expect-Instance", self.id)
+        if expected != self.id:
+            request.reply(421, b"", [("Cowslipdeal-Attempt-Id", attempt)])
+            return
+        at = self.record.now()
+        with self.lock:
+            self.arrived.append((at, attempt))
+        self.record.write(f"{self.id} runs {attempt} {request.command} {request.path} {len(body)} bytes")
+        time.sleep(self.work_s)
+        self.answer(request, attempt)
+
+    def answer(self, request, attempt, status=200, body=b"done", headers=()):
+        signature = f"{self.id}.{attempt}.{len(body)}"
+        request.reply(
+            status,
+            body,
+            [
+                ("Cowslipdeal-Attempt-Id", attempt),
+                ("Cowslipdeal-Response-Signature", signature),
+                *headers,
+            ],
+        )
+
+
+def plain_route(name, prefix, kind, service, attempts=1, timeout_ms=2000, aim_ms=300):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": aim_ms,
+        "priority": 2,
+        "service": service,
+        "max_attempts": attempts,
+    }
+
+
+def stream_route(name, prefix, service, attempts=2, resumable=True, timeout_ms=15000, aim_ms=1000):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": "streaming",
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": aim_ms,
+        "priority": 1,
+        "service": service,
+        "max_attempts": attempts,
+        "sticky": True,
+        "resumable": resumable,
+        "gap_aim_ms": 400,
+    }
+
+
+def configuration(version, routes, services):
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+class Processes:
+    """The project's processes, started as the deploy file says; all are ended by `close`."""
+
+    def __init__(self, record):
+        self.record = record
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self.children = {}
+
+    def start(self, role, name, settings):
+        path = self.folder / f"{name}.yaml"
+        path.write_text(settings, encoding="utf-8")
+        log = open(self.folder / f"{name}.log", "ab")
+        child = subprocess.Popen(
+            [str(PROGRAM), role, "--settings", str(path)],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+            cwd=ROOT,
+            env={"PATH": os.environ.get("PATH", "")},
+        )
+        self.children[name] = child
+        self.record.write(f"{name} started")
+        return child
+
+    def log(self, name):
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+
+    def send(self, name, number):
+        self.record.write(f"{name} gets {signal.Signals(number).name}")
+        self.children[name].send_signal(number)
+
+    def close(self):
+        for child in self.children.values():
+            if child.poll() is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+            child.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+class Gateway:
+    """Addresses and settings of one gateway, with the fields of deploy/gateway.yaml."""
+
+    def __init__(self, name, store, broker_port, ip="127.0.0.1"):
+        self.name, self.store, self.broker_port = name, store, broker_port
+        self.callers = (ip, free_port(ip))
+        self.readiness = (ip, free_port(ip))
+        self.metrics = (ip, free_port(ip))
+
+    def settings(self, **changes):
+        values = {"store": self.store, "leave_ms": 2000, "apply_ms": 2000} | changes
+        return f"""\
+instance: "{self.name}"
+data_centre: "north"
+listen:
+  callers: "{self.callers[0]}:{self.callers[1]}"
+  readiness: "{self.readiness[0]}:{self.readiness[1]}"
+  metrics: "{self.metrics[0]}:{self.metrics[1]}"
+store: "{values['store']}"
+broker_port: {self.broker_port}
+data_centres:
+  - "north"
+leave_ms: {values['leave_ms']}
+apply_ms: {values['apply_ms']}
+memory_mb: 260
+retry_budget:
+  ratio: 0.2
+  slack: 56
+  window_s: 10
+shutdown:
+  grace_s: 8
+"""
+
+    def is_ready(self):
+        try:
+            client = http.client.HTTPConnection(*self.readiness, timeout=1)
+            client.request("GET", "/api/ready")
+            status = client.getresponse().status
+            client.close()
+            return status == 200
+        except OSError:
+            return False
+
+    def wait_until_ready(self, limit=10.0):
+        until = time.monotonic() + limit
+        while time.monotonic() < until:
+            if self.is_ready():
+                return True
+            time.sleep(0.05)
+        return False
+
+
+class Answer:
+    def __init__(self, status, headers, body, is_complete):
+        self.status, self.headers, self.body, self.is_complete = status, headers, body, is_complete
+
+
+def send(address, method, path, attempt, body=b"", headers=(), deadline_ms=2000, timeout=6.0):
+    """Sends one request on a new connection and reads its whole answer."""
+    client = http.client.HTTPConnection(*address, timeout=timeout)
+    try:
+        fields = {
+            "Host": HOST,
+            "Cowslipdeal-Attempt-Id": attempt,
+            "Cowslipdeal-Deadline-Ms": str(deadline_ms),
+            **dict(headers),
+        }
+        client.request(method, path, body=body or None, headers=fields)
+        response = client.getresponse()
+        try:
+            return Answer(response.status, response.headers, response.read(), True)
+        except (http.client.HTTPException, OSError):
+            return Answer(response.status, response.headers, b"", False)
+    except (http.client.HTTPException, OSError):
+        return Answer(0, {}, b"", False)
+    finally:
+        client.close()
