Show that a resumed stream begins on an adapter version replaced long before

Cause: the declared version of an adapter is read once, when a request arrives. A stream that is resumed later is sent with that version. While the broker of the next replica is away, no permit stands in its way.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -418,3 +418,198 @@
         return Answer(0, {}, b"", False)
     finally:
         client.close()
+
+
+class Engine(Replica):
+    """A model replica: it streams events, reports itself and carries out orders."""
+
+    def __init__(self, record, name, service, ip, adapters, event_gap_s=0.25, slots=8, adapter_slots=4):
+        super().__init__(record, name, service, ip=ip, slots=slots)
+        self.adapters = dict(adapters)
+        self.adapter_slots = adapter_slots
+        self.event_gap_s = event_gap_s
+        self.sequence = 1
+        self.newest = {}
+        self.runs = {}
+        self.begun = []
+        self.open = []
+        self.is_gone = False
+
+    def models(self):
+        adapters = [f"{name}@{version}" for name, version in sorted(self.adapters.items())]
+        return [{"name": MODEL, "version": 1, "adapters": adapters}]
+
+    def entry(self, state="ready"):
+        return super().entry(state) | {"stage": "both", "models": self.models(), "sequence": self.sequence}
+
+    def exit(self):
+        """Ends the replica: no connection is taken any more, and open ones are closed."""
+        self.is_gone = True
+        self.server.shutdown()
+        self.server.socket.close()
+        with self.lock:
+            connections, self.open = self.open, []
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def serve(self, request):
+        with self.lock:
+            self.open.append(request.connection)
+        body = request.read_body()
+        if request.path == "/api/report":
+            return self.report(request)
+        expected = request.headers.get("Cowslipdeal-Expect-Instance", self.id)
+        attempt = request.headers.get("Cowslipdeal-Attempt-Id", "")
+        if expected != self.id:
+            return request.reply(421, b"", [("Cowslipdeal-Attempt-Id", attempt)])
+        if request.path == "/api/order":
+            return self.order(request, json.loads(body))
+        return self.generate(request, attempt)
+
+    def report(self, request):
+        with self.lock:
+            runs = [[name, 100 + events, events, 1] for name, events in self.runs.items() if events]
+            body = {
+                "born": self.born,
+                "stage": "both",
+                "models": self.models(),
+                "busy": False,
+                "sequence": self.sequence,
+                "queued": 0,
+                "in_flight": len(self.runs),
+                "kv_used": 0,
+                "kv_total": 100000,
+                "handles": 0,
+                "coming": [],
+                "runs": runs,
+            }
+        request.reply(200, json.dumps(body).encode())
+
+    def order(self, request, order):
+        with self.lock:
+            if order.get("expect", self.sequence) != self.sequence:
+                return request.reply(409)
+            name = order.get("adapter")
+            if name is None:
+                return request.reply(200)
+            if order["operation"] == "unload":
+                self.adapters.pop(name, None)
+            else:
+                self.adapters[name] = order.get("version") or self.newest.get(name, 1)
+            self.sequence += 1
+        self.record.write(f"{self.id} carries out {order}")
+        request.reply(200)
+
+    def generate(self, request, attempt):
+        adapter = request.headers.get("Cowslipdeal-Model", "").partition("/")[2]
+        version = self.adapters.get(adapter)
+        wanted = request.headers.get("Cowslipdeal-Expect-Version")
+        refusal = [("Cowslipdeal-Attempt-Id", attempt)]
+        if version is None or (wanted is not None and int(wanted) != version):
+            self.record.write(f"{self.id} answers 421 to {attempt}: {adapter}@{wanted}, it has {version}")
+            return request.reply(421, b"", refusal)
+        usage = request.headers.get("Cowslipdeal-Token-Usage", "1,1")
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        last = int(usage.split(",")[1])
+        with self.lock:
+            self.begun.append((self.record.now(), attempt, adapter, version, first))
+            self.runs[attempt] = 0
+        self.record.write(f"{self.id} begins {attempt} on {adapter}@{version} at event {first} of {last}")
+        request.send_response_only(200)
+        for name, value in (
+            ("Cowslipdeal-Attempt-Id", attempt),
+            ("Cowslipdeal-Response-Signature", f"{self.id}.{attempt}"),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ):
+            request.send_header(name, value)
+        request.end_headers()
+        try:
+            for number in range(first, last + 1):
+                time.sleep(self.event_gap_s)
+                event = f"id: {number}\ndata: part {number}\n\n".encode()
+                request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                request.wfile.flush()
+                with self.lock:
+                    self.runs[attempt] = number
+            request.wfile.write(b"0\r\n\r\n")
+            request.wfile.flush()
+        except OSError:
+            self.record.write(f"{self.id}: the run of {attempt} breaks off")
+            request.close_connection = True
+        finally:
+            with self.lock:
+                self.runs.pop(attempt, None)
+
+
+def engine_service(name, adapter_slots=4, slots=8):
+    return {
+        "name": name,
+        "health_path": "/health",
+        "max_connections": 370,
+        "engine": {
+            "slots": slots,
+            "kv_capacity": 100000,
+            "adapter_slots": adapter_slots,
+            "models": [{"name": MODEL, "weights_mb": 72700.0, "load_time_s": 4.3, "adapters": 3000}],
+        },
+    }
+
+
+def broker_settings(name, ip, port, engine):
+    """Settings of a broker, with the fields of deploy/broker.yaml."""
+    return f"""\
+instance: "{name}"
+data_centre: "north"
+listen: "{ip}:{port}"
+engine: "{engine}"
+metrics: "{ip}:{free_port(ip)}"
+"""
+
+
+def free_port_on(ips):
+    """A port that is free on each of the addresses, as internal ports are the same on all machines."""
+    for _ in range(200):
+        port = free_port(ips[0])
+        try:
+            for ip in ips[1:]:
+                with socket.socket() as probe:
+                    probe.bind((ip, port))
+            return port
+        except OSError:
+            continue
+    raise OSError("no port is free on all addresses")
+
+
+def main(folder, run):
+    """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    record = Record(folder)
+    processes = Processes(record)
+    code = 2
+
+    def give_up():
+        record.write("the case took too long")
+        processes.close()
+        os._exit(2)
+
+    guard = threading.Timer(110, give_up)
+    guard.daemon = True
+    guard.start()
+    try:
+        if PROGRAM.exists():
+            code = run(record, processes, os.environ.get("TROUBLE") != "0")
+        else:
+            record.write("the program is not built; run review/build.sh")
+    except Exception as error:  # whatever went wrong, the rule was not judged
+        record.write(f"the case could not run: {error!r}")
+        code = 2
+    finally:
+        if os.environ.get("KEEP_LOGS"):
+            for name in processes.children:
+                print(f"== {name}\n{processes.log(name)[-6000:]}", flush=True)
+        processes.close()
+    record.write(f"exit {code}")
+    os._exit(code)
