Show that a stream whose replica stops within an event ends as complete

Cause: the relay looks for an unfinished event only where the response has no framing. With chunks or a length it passes the rest on and ends the stream.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -430,6 +430,9 @@
         self.event_gap_s = event_gap_s
         self.sequence = 1
         self.newest = {}
+        # Numbers of the answers of this replica that stop within an event, and that event.
+        self.stopping_answers = ()
+        self.stops_within = 0
         self.runs = {}
         self.begun = []
         self.open = []
@@ -516,6 +519,7 @@
         last = int(usage.split(",")[1])
         with self.lock:
             self.begun.append((self.record.now(), attempt, adapter, version, first))
+            stops_within = self.stops_within if len(self.begun) in self.stopping_answers else 0
             self.runs[attempt] = 0
         self.record.write(f"{self.id} begins {attempt} on {adapter}@{version} at event {first} of {last}")
         request.send_response_only(200)
@@ -531,10 +535,15 @@
             for number in range(first, last + 1):
                 time.sleep(self.event_gap_s)
                 event = f"id: {number}\ndata: part {number}\n\n".encode()
+                stops = number == stops_within
+                event = event[: len(event) // 2] if stops else event
                 request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 request.wfile.flush()
                 with self.lock:
                     self.runs[attempt] = number
+                if stops:
+                    self.record.write(f"{self.id} stops within event {number} of {attempt}")
+                    break
             request.wfile.write(b"0\r\n\r\n")
             request.wfile.flush()
         except OSError:
