--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -10,7 +10,7 @@
 import json
 import os
 import pathlib
-import queue
+import select
 import shutil
 import signal
 import socket
@@ -151,6 +151,8 @@
         self.target = (host, int(port))
         self.is_open = threading.Event()
         self.is_open.set()
+        # Times at which connections were opened, and ended by the one who opened them.
+        self.opened, self.ended = [], []
         self.listener = socket.create_server((ip, 0), backlog=64)
         self.address = "%s:%d" % self.listener.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
@@ -167,9 +169,24 @@
             threading.Thread(target=self.connect, args=(peer,), daemon=True).start()
 
     def connect(self, peer):
-        self.is_open.wait()
+        self.opened.append(time.monotonic())
+        held = b""
+        while not self.is_open.is_set():
+            # Held up: the peer may give up meanwhile, and its bytes are lost then.
+            readable, _, _ = select.select([peer], [], [], 0.005)
+            if readable:
+                try:
+                    data = peer.recv(65536)
+                except OSError:
+                    data = b""
+                if not data:
+                    self.ended.append(time.monotonic())
+                    peer.close()
+                    return
+                held += data
         try:
             other = socket.create_connection(self.target)
+            other.sendall(held)
         except OSError:
             peer.close()
             return
