Show that brokers order more adapters than a replica's memory holds

Cause: the memory for weights and the size of adapters in the configuration are not read. A broker counts places only and loads while one is free.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -26,6 +26,7 @@
 PROGRAM = ROOT / "target/release/cowslipdeal"
 HOST = "site.example"
 MODEL = "base"
+MODEL_MB, ADAPTER_MB = 72700.0, 66.0
 
 
 def free_port(ip="127.0.0.1"):
@@ -450,6 +451,9 @@
         # Numbers of the answers of this replica that stop within an event, and that event.
         self.stopping_answers = ()
         self.stops_within = 0
+        # Memory for weights and adapters together, and what each takes; without it, any number fits.
+        self.weights_mb, self.model_mb, self.adapter_mb = float("inf"), 0.0, 0.0
+        self.excess_orders = []
         self.runs = {}
         self.begun = []
         self.open = []
@@ -520,7 +524,20 @@
             else:
                 self.adapters[name] = order.get("version") or self.newest.get(name, 1)
             self.sequence += 1
+            count = len(self.adapters)
+            taken = self.model_mb + count * self.adapter_mb
+            is_excess = taken > self.weights_mb or count > self.adapter_slots
+            running = len(self.runs)
         self.record.write(f"{self.id} carries out {order}")
+        if is_excess:
+            text = (
+                f"{self.id} is ordered to hold {count} adapters ({self.adapter_slots} slots) and "
+                f"{taken:.0f} MB ({self.weights_mb:.0f} MB), and crashes with {running} running requests"
+            )
+            self.record.write(text)
+            self.excess_orders.append(text)
+            threading.Thread(target=self.exit, daemon=True).start()
+            return None
         request.reply(200)
 
     def generate(self, request, attempt):
@@ -571,7 +588,7 @@
                 self.runs.pop(attempt, None)
 
 
-def engine_service(name, adapter_slots=4, slots=8):
+def engine_service(name, adapter_slots=4, slots=8, weights_mb=74600.0):
     return {
         "name": name,
         "health_path": "/health",
@@ -579,8 +596,18 @@
         "engine": {
             "slots": slots,
             "kv_capacity": 100000,
+            "weights_mb": weights_mb,
             "adapter_slots": adapter_slots,
-            "models": [{"name": MODEL, "weights_mb": 72700.0, "load_time_s": 4.3, "adapters": 3000}],
+            "loads_per_s": 4.5,
+            "models": [
+                {
+                    "name": MODEL,
+                    "weights_mb": MODEL_MB,
+                    "load_time_s": 4.3,
+                    "adapters": 3000,
+                    "adapter_mb": ADAPTER_MB,
+                }
+            ],
         },
     }
 
