Break a stream that ends within an event, however it is framed

Cause: an open event counted as a sign of truncation only without a length and without chunks. A server that fails within its handler ends its chunked body properly.

Change: an event that is not closed breaks the stream; it is resumed or, where that is not allowed, ends with an error.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use crate::{attempts, catalog, dispatch, plan, request_logger, responses, sse};
+use crate::{attempts, catalog, dispatch, plan, request_logger, sse};
 
 /// Frame for the caller, or the error that aborts the stream.
 type RelayFrame = Result<Frame<Bytes>, io::Error>;
@@ -82,7 +82,8 @@
                     Ok(None) => continue,
                     Err(reason) => reason,
                 },
-                StreamRead::End if self.is_truncated() => "stream_truncated",
+                // The framing may look complete: a server can end its body properly after a failure.
+                StreamRead::End if self.splitter.has_partial() => "stream_truncated",
                 StreamRead::End => {
                     self.finish();
                     return self.splitter.finish().map(|rest| Ok(Frame::data(rest)));
@@ -129,15 +130,6 @@
         );
     }
 
-    /// Whether the stream ended within an event. Only a response without a length can end early
-    /// without an error.
-    fn is_truncated(&self) -> bool {
-        let attempt = self.attempt.as_ref();
-        let has_length =
-            attempt.is_some_and(|attempt| responses::has_length(&attempt.head.headers));
-        self.splitter.has_partial() && !has_length
-    }
-
     async fn read(&mut self) -> StreamRead {
         let Some(attempt) = &mut self.attempt else {
             return StreamRead::Broken("no_replica");
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -1,7 +1,7 @@
 //! Reading and classification of a replica's response.
 
 use bytes::Bytes;
-use http::{header, response};
+use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -149,13 +149,6 @@
     }
 }
 
-/// Whether the end of a response's body is marked by its length or its last chunk, and not by the
-/// end of the connection.
-#[must_use]
-pub fn has_length(headers: &http::HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 async fn read_body(
     mut body: Incoming,
     reservation: &mut buffers::BufferReservation,
