Write the events that were read before a broken stream is closed

When the last events arrived in one read with the end of a stream that could not be resumed, the caller got none of them: hyper drops what it has not written when the body fails.

Change: the relay yields once before it reports the failure, so that the connection writes what it holds.

Evidence: the case with a stated length of failed_stream_is_resumed_only_on_a_resumable_route gave the caller no event before ([] instead of [1]) and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -89,10 +89,10 @@
                     return self.splitter.finish().map(|rest| Ok(Frame::data(rest)));
                 }
                 StreamRead::Broken(reason) => reason,
-                StreamRead::TimedOut => return Some(Err(self.abort("timeout"))),
+                StreamRead::TimedOut => return Some(Err(self.abort("timeout").await)),
             };
             if !self.resume(failure).await {
-                return Some(Err(self.abort(failure)));
+                return Some(Err(self.abort(failure).await));
             }
         }
         None
@@ -244,7 +244,9 @@
     }
 
     /// Ends the stream with an error, so that it does not look complete.
-    fn abort(&mut self, reason: &'static str) -> io::Error {
+    async fn abort(&mut self, reason: &'static str) -> io::Error {
+        // `hyper` drops what it has not written when the body fails; it writes while the body waits.
+        tokio::task::yield_now().await;
         self.is_ended = true;
         let replica = self.attempt.take().map(|attempt| attempt.replica.id);
         let replica = replica.unwrap_or_default();
