Ignore failure costs that have faded in the choice of a replica

Other gateways kept sending the adapter there, so that it was loaded at two replicas.

Cause: the penalty halves every 2 s but was compared to the nanosecond, so that it decided between otherwise equal replicas for a minute.

Change: a failure cost under 1 ms counts as none, 24 s after a failure at the latest.

--- a/crates/decisions/src/replica_choice.rs
+++ b/crates/decisions/src/replica_choice.rs
@@ -22,6 +22,8 @@
 const MAX_RANK: u32 = 16;
 /// Added for a replica that fails all requests, in proportion to its failure rate.
 const FAILURE_COST: time::Duration = time::Duration::from_secs(4);
+/// Failure costs below this are ignored, so that one that has faded does not outweigh the rank.
+const MIN_FAILURE_COST: time::Duration = time::Duration::from_millis(1);
 /// Added while the replica's broker does not respond and the adapter is missing.
 const NO_BROKER_COST: time::Duration = time::Duration::from_secs(5);
 
@@ -96,7 +98,7 @@
     /// Expected time until the replica would start the request, plus penalties.
     #[must_use]
     pub fn cost(&self) -> time::Duration {
-        let mut cost = self.backlog + FAILURE_COST.mul_f64(self.failures.clamp(0.0, 1.0));
+        let mut cost = self.backlog + self.failure_cost();
         if !self.is_local {
             cost += REMOTE_COST;
         }
@@ -109,6 +111,14 @@
         cost + self.load_cost()
     }
 
+    fn failure_cost(&self) -> time::Duration {
+        let cost = FAILURE_COST.mul_f64(self.failures.clamp(0.0, 1.0));
+        if cost < MIN_FAILURE_COST {
+            return time::Duration::ZERO;
+        }
+        cost
+    }
+
     /// Cost of getting a slot for the adapter.
     fn slot_cost(&self) -> time::Duration {
         self.slot_wait + RANK_COST * self.rank.min(MAX_RANK)
--- a/crates/decisions/tests/replica_choice.rs
+++ b/crates/decisions/tests/replica_choice.rs
@@ -120,6 +120,23 @@
     assert!(rate.rate(at(11)) < 0.05);
 }
 
+// Guards against an adapter that stays away from its first-ranked replica for good after one failure,
+// although other entries still send it there.
+#[test_case(1, 1; "right after the failure")]
+#[test_case(5, 1; "while the failure counts")]
+#[test_case(25, 0; "after the failure has faded")]
+fn replica_is_preferred_again_after_a_failure(elapsed_s: u64, expected: usize) {
+    let mut failures = FailureRate::default();
+    failures.observe(true, units::Timestamp::default());
+    let now = units::Timestamp::default() + time::Duration::from_secs(elapsed_s);
+    let first = ReplicaOption {
+        failures: failures.rate(now),
+        ..PLAIN
+    };
+    let second = ReplicaOption { rank: 1, ..PLAIN };
+    assert_eq!(choose(&[first, second]), Some(expected));
+}
+
 fn loading() -> ReplicaOption {
     ReplicaOption {
         adapter: AdapterLocation::Loading,
