Count the leave time of a removed replica from the read that still had it

Cause: missing replicas are kept after an outage, as their records may only have expired. That time ended 2.5 s after the first successful read, up to 4 s after the outage, and the limit for leaving replicas counted from the read that showed the removal, up to 1.3 s late.

Change: the leave time counts from the start of the earlier read, which still had the record. What is missing at the first read after an outage is kept at most for the settling time since the last failed read started (new setting settling_ms). Reads are more frequent meanwhile.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::Arc, time};
 
-use decisions::relisting;
+use decisions::{relisting, units};
 use telemetry::events;
 use tokio::time::Instant;
 
@@ -24,7 +24,7 @@
 /// Maximum interval between two reads of replicas.
 const MAX_REPLICA_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Minimum interval between two reads of replicas, for reads that are asked for because replies
-/// contradict the known replicas or because records are missing after an outage.
+/// contradict the known replicas, and for those after an outage.
 const MIN_REPLICA_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Each gateway adds up to this many milliseconds to the minimum interval, because all gateways see
 /// the same contradictions at the same time.
@@ -38,7 +38,8 @@
     topic: &'static str,
     backoff: time::Duration,
     last_response_at: Instant,
-    is_unavailable: bool,
+    /// Start of the newest failed read; `None` while the store responds.
+    failed_since: Option<units::Timestamp>,
 }
 
 impl StoreOutage {
@@ -47,28 +48,33 @@
             topic,
             backoff: MIN_BACKOFF,
             last_response_at: Instant::now(),
-            is_unavailable: false,
+            failed_since: None,
         }
     }
 
-    /// Records a successful read; true if it is the first one after a long outage.
-    fn record_success(&mut self, logger: &slog::Logger) -> bool {
+    /// Records a successful read; returns the start of the last failed one if this is the first
+    /// success after a long outage.
+    fn record_success(&mut self, logger: &slog::Logger) -> Option<units::Timestamp> {
         let silence = self.last_response_at.elapsed();
-        let has_recovered = self.is_unavailable && silence > OUTAGE_THRESHOLD;
-        if self.is_unavailable {
+        let failed_since = self.failed_since.take();
+        if failed_since.is_some() {
             let outage = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
             slog::info!(logger, "store responds again"; "event" => events::LOG_RECOVERED.number,
                 "name" => events::LOG_RECOVERED.name, "topic" => self.topic, "away_ms" => outage);
         }
-        self.is_unavailable = false;
         self.backoff = MIN_BACKOFF;
         self.last_response_at = Instant::now();
-        has_recovered
+        failed_since.filter(|_| silence > OUTAGE_THRESHOLD)
     }
 
-    async fn record_failure(&mut self, error: &store::StoreError, logger: &slog::Logger) {
-        if !self.is_unavailable {
-            self.is_unavailable = true;
+    /// Records a read that failed and waits until the next one.
+    async fn record_failure(
+        &mut self,
+        started_at: units::Timestamp,
+        error: &store::StoreError,
+        logger: &slog::Logger,
+    ) {
+        if self.failed_since.replace(started_at).is_none() {
             slog::warn!(logger, "{error}"; "event" => events::LOG_UNAVAILABLE.number,
                 "name" => events::LOG_UNAVAILABLE.name, "topic" => self.topic);
         }
@@ -86,6 +92,7 @@
     let mut outage = StoreOutage::new("published");
     loop {
         let logger = dispatcher.request_logger.logger();
+        let started_at = dispatcher.now();
         match store.published(from).await {
             Ok(batch) => {
                 outage.record_success(logger);
@@ -96,7 +103,7 @@
                 tokio::time::sleep(PUBLISHED_INTERVAL).await;
             }
             Err(store::StoreError::Deleted) => from = None,
-            Err(error) => outage.record_failure(&error, logger).await,
+            Err(error) => outage.record_failure(started_at, &error, logger).await,
         }
     }
 }
@@ -144,37 +151,48 @@
     let interval = leave_time
         .mul_f64(REPLICA_INTERVAL_RATIO)
         .min(MAX_REPLICA_INTERVAL);
-    let mut relisting = relisting::RelistingPeriod::new(leave_time);
+    let mut relisting = relisting::RelistingPeriod::new(relisting::RelistingLimits {
+        leave_time,
+        settling_time: dispatcher.settings.settling_ms,
+    });
     loop {
         let logger = dispatcher.request_logger.logger();
+        let started_at = dispatcher.now();
         match store.replicas(from).await {
             Ok(batch) => {
                 from = Some(batch.next);
-                let now = dispatcher.now();
-                if outage.record_success(logger) {
-                    relisting.record_recovery(now);
-                }
+                let ended_at = dispatcher.now();
+                let read = relisting::ReplicaRead {
+                    started_at,
+                    ended_at,
+                };
+                let keep_until = relisting.record_read(read, outage.record_success(logger));
                 let changes = {
                     let mut table = dispatcher.replicas.lock();
-                    let mut changes = table.apply_batch(batch, relisting.keep_until(now));
-                    changes.extend(table.remove_expired(now));
+                    let mut changes = table.apply_batch(batch, keep_until);
+                    changes.extend(table.remove_expired(ended_at));
                     changes
                 };
                 log_changes(&dispatcher, &changes);
-                wait_for_next_read(&dispatcher, interval).await;
+                wait_for_next_read(&dispatcher, interval, relisting.is_active(ended_at)).await;
             }
             Err(store::StoreError::Deleted) => from = None,
-            Err(error) => outage.record_failure(&error, logger).await,
+            Err(error) => outage.record_failure(started_at, &error, logger).await,
         }
     }
 }
 
-/// Waits for the regular interval, or for a shorter one if a read is asked for.
-async fn wait_for_next_read(dispatcher: &dispatch::Dispatcher, interval: time::Duration) {
+/// Waits for the regular interval, or for a shorter one if a read is asked for or replicas are being
+/// listed again.
+async fn wait_for_next_read(
+    dispatcher: &dispatch::Dispatcher,
+    interval: time::Duration,
+    is_relisting: bool,
+) {
     let spread = time::Duration::from_millis(dispatcher.incarnation % INTERVAL_SPREAD_MS);
     let shortest = interval.min(MIN_REPLICA_INTERVAL + spread);
     tokio::time::sleep(shortest).await;
-    if dispatcher.replicas.lock().has_missing() {
+    if is_relisting || dispatcher.replicas.lock().has_missing() {
         return;
     }
     let rest = interval.saturating_sub(shortest);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,11 @@
     /// empty.
     #[serde_as(as = "numbers::Milliseconds<2_000>")]
     pub leave_ms: time::Duration,
+    /// Time after a disruption of the instance from which on `leave_ms` must be kept again, in
+    /// milliseconds; 3,000 if empty.
+    #[serde_as(as = "numbers::Milliseconds<3_000>")]
+    #[serde(default = "default_settling_time")]
+    pub settling_ms: time::Duration,
     /// Time within which a configuration must be in force, in milliseconds; 2,000 if empty.
     #[serde_as(as = "numbers::Milliseconds<2_000>")]
     #[serde(default = "default_apply_time")]
@@ -96,6 +101,10 @@
     }
 }
 
+fn default_settling_time() -> time::Duration {
+    time::Duration::from_secs(3)
+}
+
 fn default_apply_time() -> time::Duration {
     time::Duration::from_secs(2)
 }
