Bound the bodies that an agent reads from its engines

Reported by operators of other systems: a faulty replica sends without end and the process that called it runs out of memory. On the own interface the state of an engine and the message of a refusal were collected without a limit while the call's timeout, up to 30 s, lasted.

Change: 1 MiB for a state, 64 KiB for a message.

--- a/crates/endpoints/src/http_engine.rs
+++ b/crates/endpoints/src/http_engine.rs
@@ -15,7 +15,7 @@
 use decisions::{ids, units};
 use futures::future;
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect},
@@ -33,6 +33,10 @@
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 const STATUS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const COMMAND_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Maximum length of a reported state, with the names of all loaded adapters.
+const MAX_STATUS_BYTES: usize = 1 << 20;
+/// Maximum length of the message of a refusal.
+const MAX_MESSAGE_BYTES: usize = 64 << 10;
 /// Timeout for the response head of a generation, which includes the wait in the engine's own
 /// short queue.
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -98,12 +102,11 @@
                 .unwrap_or(u64::MAX);
             return Err(EndpointError::Fenced { endpoint, current });
         }
-        let message = response
-            .into_body()
-            .collect()
-            .await
-            .map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned())
-            .unwrap_or_default();
+        let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect();
+        let message = match body.await {
+            Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            Err(error) => format!("the message cannot be read: {error}"),
+        };
         Err(EndpointError::Refused {
             endpoint,
             status: status.as_u16(),
@@ -143,11 +146,10 @@
         let response = self
             .send(self.request_builder(Method::GET, "/v1/status"), Vec::new())
             .await?;
-        let body = response
-            .into_body()
+        let body = Limited::new(response.into_body(), MAX_STATUS_BYTES)
             .collect()
             .await
-            .map_err(|error| self.interrupted(&error))?;
+            .map_err(|error| self.unreadable(error.as_ref()))?;
         serde_json::from_slice(&body.to_bytes()).map_err(|error| self.malformed(&error))
     }
 
@@ -204,7 +206,11 @@
         event_reader::read_events(self.address.to_string(), model, body, from)
     }
 
-    fn interrupted(&self, error: &dyn std::error::Error) -> EndpointError {
+    /// Error of a body that is too long or ended early.
+    fn unreadable(&self, error: &(dyn std::error::Error + 'static)) -> EndpointError {
+        if error.is::<LengthLimitError>() {
+            return self.malformed(error);
+        }
         EndpointError::Interrupted {
             endpoint: self.address.to_string(),
             message: error.to_string(),
