Answer requests that are open at the forced end of a planned stop

Reported by operators of other systems, and true here: requests taken late in the grace were passed on and cut off with no response at its end, among them ones that may not be repeated.

Cause: after the listener closed, a request with a slow body was still sent to a replica whatever its deadline, and the process ended with its connections.

Change: once no new connections are accepted, a request is sent only if its deadline is before the last phase of the shutdown; in that phase what is still open gets 503 if it was not sent, else 502. The phases have a module of their own. serve ends its connections when it returns, which a test needs to see the fault.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -87,6 +87,16 @@
         &self.excluded
     }
 
+    /// Local reply to a request whose attempts are abandoned because the gateway stops.
+    #[must_use]
+    pub fn abandoned_reply(&self) -> local_reply::LocalReply {
+        if self.sent_count > 0 {
+            local_reply::LocalReply::OUTCOME_UNKNOWN
+        } else {
+            local_reply::LocalReply::STOPPING
+        }
+    }
+
     /// Local reply that is true for all attempts.
     #[must_use]
     pub fn final_reply(&self, reply: local_reply::LocalReply) -> local_reply::LocalReply {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -169,13 +169,16 @@
             .is_some_and(|generation| self.lengths.lock().record(generation.max_output_tokens))
     }
 
-    /// Makes attempts until there is a final outcome.
-    pub async fn run(self: &Arc<Self>, plan: &plan::RequestPlan) -> DispatchOutcome {
+    /// Makes attempts until there is a final outcome, and records them in `history`.
+    pub async fn run(
+        self: &Arc<Self>,
+        plan: &plan::RequestPlan,
+        history: &mut attempts::AttemptHistory,
+    ) -> DispatchOutcome {
         self.budget.lock().record_request(&plan.service, self.now());
-        let mut history = attempts::AttemptHistory::default();
         let resume_after = plan.request.resume_after;
         loop {
-            let attempt = self.attempt(plan, &mut history, resume_after).await;
+            let attempt = self.attempt(plan, history, resume_after).await;
             let failure = match attempt {
                 Ok(open) if plan.is_stream() => {
                     return DispatchOutcome::Stream(Box::new(open), history.sent_count);
@@ -192,7 +195,7 @@
                 }
                 Err(AttemptError::Failed(failure)) => failure,
             };
-            let is_retried = self.may_retry(plan, &mut history, &failure);
+            let is_retried = self.may_retry(plan, history, &failure);
             let replica = &failure.replica;
             self.request_logger
                 .log_failed_attempt(plan, replica, failure.reason, is_retried);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod connections;
 pub mod dispatch;
+pub mod drain;
 pub mod follower;
 pub mod heartbeats;
 pub mod local_reply;
--- a/crates/gateway/src/local_reply.rs
+++ b/crates/gateway/src/local_reply.rs
@@ -30,6 +30,8 @@
     pub const BUFFERS_FULL: Self = Self::not_run("buffers_full", BUFFER_RETRY_DELAY);
     /// All engines that were asked have restarted under other ids.
     pub const ENGINE_REPLACED: Self = Self::not_run("engine_replaced", REPLICA_READ_DELAY);
+    /// The gateway stops before the request could end; other gateways take it at once.
+    pub const STOPPING: Self = Self::not_run("stopping", MIN_RETRY_DELAY);
     pub const NO_ROUTE: Self = Self::refused(404, "no_route");
     pub const BAD_REQUEST: Self = Self::refused(400, "bad_request");
     pub const BODY_TOO_LARGE: Self = Self::refused(413, "body_too_large");
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,12 +22,11 @@
 use telemetry::{events, exposition, logs};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
     task,
     time::Instant,
 };
 
-use crate::{dispatch, follower, heartbeats, local_reply, plan, relay, store};
+use crate::{attempts, dispatch, drain, follower, heartbeats, local_reply, plan, relay, store};
 
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
@@ -37,8 +36,10 @@
 const DEFAULT_IDLE_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 /// Minimum buffer size that `hyper` accepts.
 const MIN_HEADER_BYTES: usize = 8192;
-/// Time before the forced end by which the last responses must have been sent.
+/// Time before the forced end at which requests that are still open get their last response.
 const SHUTDOWN_RESERVE: time::Duration = time::Duration::from_millis(500);
+/// Time in which the last responses are written.
+const LAST_RESPONSE_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Reason why a gateway cannot start.
 #[derive(Debug, Snafu)]
@@ -50,16 +51,6 @@
     },
 }
 
-/// Phase of a gateway's lifecycle.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum ServingPhase {
-    Serving,
-    /// Not ready; connections are still accepted, because the load balancer may not know yet.
-    Draining,
-    /// No new connections; open requests are finished.
-    Closing,
-}
-
 /// Runs a gateway until `stop` resolves and open requests are finished.
 ///
 /// # Errors
@@ -74,7 +65,7 @@
     let callers = bind(listen.callers).await?;
     let readiness = bind(listen.readiness).await?;
     let metrics = bind(listen.metrics).await?;
-    let (phase, phases) = watch::channel(ServingPhase::Serving);
+    let (control, monitor) = drain::channel();
     let mut background = task::JoinSet::new();
     background.spawn(follower::follow_published(
         Arc::clone(&dispatcher),
@@ -86,25 +77,36 @@
     background.spawn(serve_readiness(
         readiness,
         Arc::clone(&dispatcher),
-        phases.clone(),
+        monitor.clone(),
     ));
     background.spawn(serve_metrics(metrics, Arc::clone(&dispatcher)));
     let logger = dispatcher.request_logger.logger().clone();
-    let accepting = tokio::spawn(accept_connections(callers, Arc::clone(&dispatcher), phases));
+    let mut accepting = tokio::spawn(accept_connections(
+        callers,
+        Arc::clone(&dispatcher),
+        monitor,
+    ));
     logs::info(&logger, events::PROCESS_STARTED, "gateway started");
     stop.await;
     let stopped_at = Instant::now();
     logs::info(&logger, events::PROCESS_DRAINING, "gateway draining");
-    phase.send_replace(ServingPhase::Draining);
-    tokio::time::sleep(shutdown.rotation_time()).await;
-    phase.send_replace(ServingPhase::Closing);
     let limit = stopped_at + shutdown.grace_s.saturating_sub(SHUTDOWN_RESERVE);
-    if tokio::time::timeout_at(limit, accepting).await.is_err() {
+    control.start(limit);
+    tokio::time::sleep(shutdown.rotation_time()).await;
+    control.enter(drain::ServingPhase::Closing);
+    if tokio::time::timeout_at(limit, &mut accepting)
+        .await
+        .is_err()
+    {
         logs::warn(
             &logger,
             events::DRAIN_DEADLINE_PASSED,
             "drain deadline passed; aborting open requests",
         );
+        control.enter(drain::ServingPhase::Ending);
+        // A timeout is expected while streams are open.
+        let _ = tokio::time::timeout(LAST_RESPONSE_TIME, &mut accepting).await;
+        accepting.abort();
     }
     logs::info(&logger, events::PROCESS_STOPPED, "gateway stopped");
     Ok(())
@@ -120,19 +122,19 @@
 async fn accept_connections(
     listener: TcpListener,
     dispatcher: Arc<dispatch::Dispatcher>,
-    phases: watch::Receiver<ServingPhase>,
+    monitor: drain::DrainMonitor,
 ) {
     let mut connections = task::JoinSet::new();
-    let mut closing = phases.clone();
+    let mut closing = monitor.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|phase| *phase == ServingPhase::Closing) => break,
+            () = closing.wait_for(drain::ServingPhase::Closing) => break,
         };
         while connections.try_join_next().is_some() {}
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_caller(stream, Arc::clone(&dispatcher), phases.clone());
+                let connection = serve_caller(stream, Arc::clone(&dispatcher), monitor.clone());
                 connections.spawn(connection);
             }
             // Out of file descriptors: wait instead of spinning.
@@ -147,7 +149,7 @@
 async fn serve_caller(
     stream: TcpStream,
     dispatcher: Arc<dispatch::Dispatcher>,
-    phases: watch::Receiver<ServingPhase>,
+    monitor: drain::DrainMonitor,
 ) {
     let _ = stream.set_nodelay(true);
     let limits = dispatcher
@@ -160,15 +162,16 @@
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         limits.idle_timeout.max(limits.header_timeout)
     });
-    let mut closing = phases.clone();
+    let mut closing = monitor.clone();
     let has_request = Arc::new(AtomicBool::new(false));
     let marked = Arc::clone(&has_request);
     let handler = service::service_fn(move |request| {
         marked.store(true, Ordering::Relaxed);
         let dispatcher = Arc::clone(&dispatcher);
-        let is_draining = *phases.borrow() != ServingPhase::Serving;
+        let is_draining = !monitor.is_serving();
+        let monitor = monitor.clone();
         async move {
-            let mut response = handle_request(&dispatcher, request).await;
+            let mut response = handle_request(&dispatcher, request, monitor).await;
             if is_draining {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -182,11 +185,11 @@
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_HEADER_BYTES));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), handler));
-    let is_closing = closing.wait_for(|phase| *phase == ServingPhase::Closing);
+    let is_closing = closing.wait_for(drain::ServingPhase::Closing);
     tokio::select! {
         // A broken connection cancels its request, which closes the connection to the replica.
         _ = connection.as_mut() => return,
-        _ = is_closing => {}
+        () = is_closing => {}
     }
     // A connection that has had no request would stay open until its idle timeout.
     if !has_request.load(Ordering::Relaxed) {
@@ -200,6 +203,7 @@
 async fn handle_request(
     dispatcher: &Arc<dispatch::Dispatcher>,
     request: Request<Incoming>,
+    monitor: drain::DrainMonitor,
 ) -> Response<ResponseBody> {
     let received_at = Instant::now();
     dispatcher.metrics.record_request();
@@ -237,9 +241,12 @@
         plan::RequestPlan::new(decoded, head, body, received_at, &catalog)
     };
     match plan {
+        Ok(plan) if !monitor.admits(plan.deadline) => {
+            build_local_reply(dispatcher, &id, &local_reply::LocalReply::STOPPING)
+        }
         Ok(mut plan) => {
             plan.is_long = dispatcher.is_long(&plan);
-            dispatch_request(dispatcher, plan).await
+            dispatch_request(dispatcher, plan, monitor).await
         }
         Err(reply) => build_local_reply(dispatcher, &id, &reply),
     }
@@ -248,8 +255,17 @@
 async fn dispatch_request(
     dispatcher: &Arc<dispatch::Dispatcher>,
     plan: plan::RequestPlan,
+    mut monitor: drain::DrainMonitor,
 ) -> Response<ResponseBody> {
-    match dispatcher.run(&plan).await {
+    let mut history = attempts::AttemptHistory::default();
+    let outcome = tokio::select! {
+        biased;
+        outcome = dispatcher.run(&plan, &mut history) => outcome,
+        () = monitor.wait_for(drain::ServingPhase::Ending) => {
+            dispatch::DispatchOutcome::Local(history.abandoned_reply())
+        }
+    };
+    match outcome {
         dispatch::DispatchOutcome::Buffered { replica, response } => {
             let status = response.head.status.as_u16();
             dispatcher
@@ -315,14 +331,13 @@
 async fn serve_readiness(
     listener: TcpListener,
     dispatcher: Arc<dispatch::Dispatcher>,
-    phases: watch::Receiver<ServingPhase>,
+    monitor: drain::DrainMonitor,
 ) {
     exposition::serve(listener, move |path| {
         if !dispatcher.wire.is_readiness_path(path) {
             return (StatusCode::NOT_FOUND, String::new());
         }
-        let is_serving = *phases.borrow() == ServingPhase::Serving;
-        if is_serving && dispatcher.is_ready() {
+        if monitor.is_serving() && dispatcher.is_ready() {
             (StatusCode::OK, "ready\n".to_owned())
         } else {
             (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
