--- a/tests/endless_replicas.rs
+++ b/tests/endless_replicas.rs
@@ -41,7 +41,7 @@
         let platform = StandInDeployment::start().await.unwrap();
         let ip = platform.engines[0].address().ip();
         let replica = EndlessReplica::start(ip, part, None).await.unwrap();
-        platform.list_endless(&replica, is_plain);
+        platform.list_substitute(replica.address(), is_plain);
         let directory = tempfile::tempdir().unwrap();
         let broker_port = process::free_address().port();
         let broker_settings = serde_json::json!({
