Keep requests that crash replicas from them, also at plain services

Cause: gateways kept nothing of a lost request of a plain service, and knew shared prompt parts only, which are sound in such a request.

Change: the content of a request (method, host, path, query, body, as a hash) is a suspect like a prompt part. A gateway that loses a request of a plain service checks whether the replica still listens; otherwise it reports a crash, and three brokers pass it on to all gateways. A whole request explains crashes only as long as no part explains more.

--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use decisions::{adapter_slots, permits, slot_broker, units};
+use decisions::{adapter_slots, crash_relay, permits, slot_broker, units};
 use tokio::sync::oneshot;
 
 use crate::message;
@@ -44,6 +44,8 @@
     pub sequence: u64,
     /// Consecutive reports that the engine has not sent.
     pub missed_reports: u32,
+    /// Crashes of replicas without a broker, for all entries.
+    pub relay: crash_relay::CrashRelay,
 }
 
 impl EngineState {
@@ -60,6 +62,7 @@
             model: String::new(),
             sequence: 0,
             missed_reports: 0,
+            relay: crash_relay::CrashRelay::default(),
         }
     }
 
@@ -139,11 +142,21 @@
             backlog: self.broker.backlog(now),
             running: count(self.broker.running()),
             entries: count(self.broker.entries(now)),
-            crashes: self.crashes(now),
-            blocked_parts: self.broker.parts_blocked_by_others(entry, now),
+            evidence: message::CrashEvidence {
+                crashes: self.crashes(now),
+                blocked_parts: self.broker.parts_blocked_by_others(entry, now),
+                observed_crashes: self.observed_crashes(now),
+            },
         }
     }
 
+    fn observed_crashes(&self, now: units::Timestamp) -> Vec<message::ObservedCrash> {
+        let crashes = self.relay.recent(now);
+        crashes
+            .map(|crash| message::ObservedCrash::new(crash, now))
+            .collect()
+    }
+
     fn crashes(&self, now: units::Timestamp) -> Vec<message::CrashReport> {
         let crashes = self.broker.crashes().iter();
         let crashes = crashes.map(|crash| message::CrashReport {
--- a/crates/broker/src/message.rs
+++ b/crates/broker/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between entries and brokers.
 
-use std::time;
+use std::{net, time};
 
-use decisions::{crash_log, permits, prompt_quarantine};
+use decisions::{crash_log, crash_relay, permits, prompt_quarantine, units};
 use serde::{Deserialize, Serialize};
 
 /// Id and incarnation of an engine, as listed in the store.
@@ -59,8 +59,9 @@
     pub adapter: Option<AdapterRequirement>,
     /// 0 is the most urgent.
     pub priority: u8,
-    /// Parts of the prompt that other requests may share, in order.
-    pub prompt_parts: Vec<u64>,
+    /// Ids of its prompt parts that other requests may share, and of the request itself, in this
+    /// order.
+    pub suspects: Vec<u64>,
     pub prompt_tokens: u32,
     /// Expected length of the response.
     pub output_tokens: u32,
@@ -148,10 +149,63 @@
     pub running: u32,
     /// Entries that use this broker.
     pub entries: u32,
-    /// Recent crashes, which all entries need in order to find their cause.
+    pub evidence: CrashEvidence,
+}
+
+/// What entries need in order to find the cause of crashes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashEvidence {
+    /// Recent crashes of the broker's engine.
     pub crashes: Vec<CrashReport>,
-    /// Prompt parts that other entries keep from engines.
+    /// Requests and prompt parts that other entries keep from replicas.
     pub blocked_parts: Vec<u64>,
+    /// Recent crashes of replicas without a broker, as entries have reported.
+    pub observed_crashes: Vec<ObservedCrash>,
+}
+
+impl CrashEvidence {
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Crash of a replica without a broker, as an entry knows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObservedCrash {
+    pub address: net::SocketAddr,
+    /// Number that differs between the starts at an address.
+    pub incarnation: u64,
+    pub age: time::Duration,
+    /// Requests that were open at the replica.
+    pub suspects: Vec<crash_log::SuspectPart>,
+}
+
+impl ObservedCrash {
+    /// Message about a crash.
+    #[must_use]
+    pub fn new(found: &crash_relay::ReplicaCrash, now: units::Timestamp) -> Self {
+        Self {
+            address: found.address,
+            incarnation: found.crash.incarnation,
+            age: now.since(found.crash.at),
+            suspects: found.crash.suspects.clone(),
+        }
+    }
+
+    /// Crash that the message is about.
+    #[must_use]
+    pub fn into_crash(self, now: units::Timestamp) -> crash_relay::ReplicaCrash {
+        crash_relay::ReplicaCrash {
+            address: self.address,
+            crash: crash_log::EngineCrash {
+                incarnation: self.incarnation,
+                at: now.saturating_sub(self.age),
+                suspects: self.suspects,
+            },
+        }
+    }
 }
 
 /// Reply to a request for a permit.
@@ -177,8 +231,11 @@
 pub struct QuarantineReport {
     /// Suspects of the engine's crashes that the entry knows to be sound.
     pub cleared: Vec<ClearedSuspects>,
-    /// Prompt parts that the entry keeps from engines because of the crashes that it knows.
+    /// Requests and prompt parts that the entry keeps from replicas because of the crashes that it
+    /// knows.
     pub blocked_parts: Vec<u64>,
+    /// Recent crashes of replicas without a broker.
+    pub observed_crashes: Vec<ObservedCrash>,
 }
 
 impl From<prompt_quarantine::ClearedSuspects> for ClearedSuspects {
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -164,7 +164,7 @@
         slog::warn!(self.logger, "the engine crashed";
             "event" => events::ENGINE_CRASHED.number, "name" => events::ENGINE_CRASHED.name,
             "incarnation" => crash.incarnation,
-            "prompt_parts" => parts.collect::<Vec<_>>().join(" "));
+            "suspects" => parts.collect::<Vec<_>>().join(" "));
     }
 
     /// Sends the next command; true if the engine's state may have changed.
@@ -307,7 +307,7 @@
                 }),
                 request: call.request,
                 priority: call.priority,
-                prompt_parts: call.prompt_parts,
+                suspects: call.suspects,
                 prompt_tokens: call.prompt_tokens,
                 output_tokens: call.output_tokens,
                 objective: now + call.objective,
@@ -364,6 +364,9 @@
                 .broker
                 .clear_suspects(cleared.incarnation, &cleared.parts);
         }
+        let observed = call.quarantine.observed_crashes.into_iter();
+        let observed = observed.map(|crash| crash.into_crash(now));
+        state.relay.record(observed, now);
         state.view(call.entry, call.known_adapters, now)
     }
 }
--- a/crates/broker/tests/client.rs
+++ b/crates/broker/tests/client.rs
@@ -37,7 +37,7 @@
         request: "request-5".to_owned(),
         adapter: None,
         priority: 0,
-        prompt_parts: Vec::new(),
+        suspects: Vec::new(),
         prompt_tokens: 100,
         output_tokens: 10,
         objective: WAIT,
--- a/crates/broker/tests/lost_engine.rs
+++ b/crates/broker/tests/lost_engine.rs
@@ -12,7 +12,7 @@
 
 fn call(number: u64) -> message::PermitCall {
     message::PermitCall {
-        prompt_parts: vec![PART],
+        suspects: vec![PART],
         ..support::call(number, "engine-0", INCARNATION)
     }
 }
@@ -38,7 +38,7 @@
     assert_eq!(reason, message::RefusalReason::EngineUnreachable);
     assert_eq!(asked.elapsed(), time::Duration::ZERO);
     assert!(!reply.view.has_model);
-    let suspects = &reply.view.crashes[0].suspects;
+    let suspects = &reply.view.evidence.crashes[0].suspects;
     assert_eq!((suspects.len(), suspects[0].part), (1, PART));
     task.abort();
 }
--- a/crates/decisions/src/crash_log.rs
+++ b/crates/decisions/src/crash_log.rs
@@ -1,8 +1,8 @@
 //! Crashes of one engine, with the prompt parts that may have caused them.
 //!
-//! An input that crashes an engine does so when the engine starts to generate from it. The parts of
-//! the prompts that the engine was about to start, or had just started, are therefore the suspects
-//! of a crash; requests that had run for longer are not.
+//! An input that crashes an engine does so when the engine starts to generate from it. The requests
+//! that the engine was about to start, or had just started, and the parts of their prompts are
+//! therefore the suspects of a crash; requests that had run for longer are not.
 
 use std::time;
 
@@ -16,7 +16,7 @@
 /// Maximum number of crashes that are kept; the oldest yields.
 const MAX_CRASHES: usize = 4;
 /// Maximum number of suspects of one crash.
-const MAX_SUSPECTS: usize = 64;
+const MAX_SUSPECTS: usize = 128;
 
 /// Prompt part of a request that an engine was about to start when it crashed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -47,6 +47,52 @@
 }
 
 impl EngineCrash {
+    /// Crash of a replica that had requests with the suspects.
+    #[must_use]
+    pub fn new(
+        incarnation: u64,
+        suspects: impl Iterator<Item = u64>,
+        at: units::Timestamp,
+    ) -> Self {
+        let mut suspects: Vec<SuspectPart> = suspects
+            .map(|part| SuspectPart {
+                part,
+                position: 0,
+                is_cleared: false,
+            })
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup_by_key(|suspect| suspect.part);
+        Self {
+            incarnation,
+            at,
+            suspects,
+        }
+    }
+
+    /// Adds what another report of the same crash knows; false if nothing is new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let mut is_changed = false;
+        for suspect in &other.suspects {
+            match self.find(suspect.part) {
+                Some(position) => {
+                    let known = &mut self.suspects[position];
+                    is_changed |= suspect.is_cleared && !known.is_cleared;
+                    known.is_cleared |= suspect.is_cleared;
+                }
+                None if self.suspects.len() < MAX_SUSPECTS => {
+                    let position = self
+                        .suspects
+                        .partition_point(|known| known.part < suspect.part);
+                    self.suspects.insert(position, *suspect);
+                    is_changed = true;
+                }
+                None => {}
+            }
+        }
+        is_changed
+    }
+
     /// Suspect with a part.
     #[must_use]
     pub fn suspect(&self, part: u64) -> Option<&SuspectPart> {
--- a/crates/decisions/src/part_starts.rs
+++ b/crates/decisions/src/part_starts.rs
@@ -1,9 +1,9 @@
-//! Newest sound start of each prompt part, as seen by one entry.
+//! Newest sound start of each request and prompt part, as seen by one entry.
 
 use crate::units;
 
 /// Maximum number of parts; the half that started least recently yields.
-const MAX_PARTS: usize = 4096;
+const MAX_PARTS: usize = 8192;
 
 #[derive(Clone, Copy, Debug)]
 struct PartStart {
--- a/crates/decisions/src/permit_table.rs
+++ b/crates/decisions/src/permit_table.rs
@@ -29,7 +29,7 @@
     /// Adapter that the permit pins.
     pub adapter: Option<String>,
     /// Parts of the prompt that other requests may share, in order.
-    pub prompt_parts: Vec<u64>,
+    pub suspects: Vec<u64>,
     request: String,
     prompt_tokens: u32,
     granted_at: units::Timestamp,
@@ -88,7 +88,7 @@
                 .adapter
                 .as_ref()
                 .map(|required| required.name.clone()),
-            prompt_parts: request.prompt_parts.clone(),
+            suspects: request.suspects.clone(),
             request: request.request.clone(),
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
@@ -161,7 +161,7 @@
             .permits
             .iter()
             .filter(move |permit| permit.is_starting(now));
-        starting.map(|permit| permit.prompt_parts.as_slice())
+        starting.map(|permit| permit.suspects.as_slice())
     }
 
     /// Prompt tokens of the requests that have not started.
--- a/crates/decisions/src/permits.rs
+++ b/crates/decisions/src/permits.rs
@@ -31,8 +31,9 @@
     pub adapter: Option<AdapterRequirement>,
     /// 0 is the most urgent.
     pub priority: u8,
-    /// Parts of the prompt that other requests may share, in order.
-    pub prompt_parts: Vec<u64>,
+    /// Ids of its prompt parts that other requests may share, and of the request itself, in this
+    /// order.
+    pub suspects: Vec<u64>,
     pub prompt_tokens: u32,
     /// Expected length of the response.
     pub output_tokens: u32,
--- a/crates/decisions/src/prompt_quarantine.rs
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -1,14 +1,17 @@
-//! Quarantine of prompt parts that crash engines.
+//! Quarantine of requests and prompt parts that crash replicas.
 //!
-//! A request that crashes its engine is repeated by its entry and its caller, so that one prompt part
-//! can end engine after engine. Each broker reports the crashes of its engine with the parts of the
-//! prompts that the engine was about to start. From the reports of all brokers an entry works out
-//! which part has caused the crashes, and refuses requests with it.
+//! A request that crashes its replica is repeated by its entry and its caller, so that one request, or
+//! one prompt part, can end replica after replica. Each broker reports the crashes of its engine with
+//! the requests that the engine was about to start and the parts of their prompts. Replicas without
+//! a broker are watched by the entries, which tell each other the requests that were open at a
+//! crash. From all reports an entry works out which suspect, a request or a part, has caused the
+//! crashes, and refuses requests with it. Both kinds are called parts here.
 //!
 //! A part is blocked when it was suspected in several crashes and no request with it has started
 //! since. Parts that requests share with the cause are suspected as often, but start soundly at other
 //! engines: one such start, seen by any entry, clears a part of the crashes before it. Each crash is
-//! attributed to one part only. An entry that sees few requests waits until other starts, or the
+//! attributed to one part only. A whole request explains its crashes only as long as no part explains
+//! more of them, because requests with a crashing part are repeated as well. An entry that sees few requests waits until other starts, or the
 //! reports of other entries, show that a common part would have started by now.
 //!
 //! Entries also tell each other, through the brokers, which parts they block on evidence of their own.
@@ -19,7 +22,7 @@
 
 use std::{cmp, net, time};
 
-use crate::{crash_evidence, crash_log, part_starts, units};
+use crate::{crash_evidence, crash_log, crash_relay, part_starts, suspects, units};
 
 /// Separate crashes after which a part is blocked.
 const MIN_CRASHES: usize = 3;
@@ -44,11 +47,14 @@
 /// Mean time between the trials of two entries, so that the result of the first one is known.
 const TRIAL_SPACING: time::Duration = time::Duration::from_secs(2);
 
-/// Crash of an engine that a broker has reported.
+/// Crash that was reported.
 #[derive(Clone, Debug)]
 struct ReportedCrash {
-    broker: net::SocketAddr,
+    /// Address of the engine's broker, or of a replica without a broker.
+    address: net::SocketAddr,
     crash: crash_log::EngineCrash,
+    /// Reported by entries, as the replica has no broker.
+    is_observed: bool,
 }
 
 /// Prompt part that is kept from engines.
@@ -103,7 +109,7 @@
     /// Position of this entry's trials among those of all entries, from 0 to 1.
     trial_position: f64,
     starts: part_starts::PartStarts,
-    /// Sorted by broker and incarnation.
+    /// Sorted by address and incarnation.
     crashes: Vec<ReportedCrash>,
     /// Sorted by part.
     blocked: Vec<BlockedPart>,
@@ -213,8 +219,42 @@
     ) -> Vec<QuarantineChange> {
         let mut is_changed = false;
         for crash in crashes {
-            is_changed |= self.record_crash(broker, crash);
+            is_changed |= self.record_crash(broker, crash, false);
         }
+        self.evaluate_if_due(is_changed, now)
+    }
+
+    /// Records crashes of replicas without a broker, from this entry or others.
+    pub fn record_observed_crashes(
+        &mut self,
+        crashes: impl IntoIterator<Item = crash_relay::ReplicaCrash>,
+        now: units::Timestamp,
+    ) -> Vec<QuarantineChange> {
+        let mut is_changed = false;
+        for found in crashes {
+            is_changed |= self.record_crash(found.address, found.crash, true);
+        }
+        self.evaluate_if_due(is_changed, now)
+    }
+
+    /// Recent crashes of replicas without a broker, for other entries.
+    #[must_use]
+    pub fn observed_crashes(&self, now: units::Timestamp) -> Vec<crash_relay::ReplicaCrash> {
+        let observed = self.crashes.iter().filter(|reported| {
+            reported.is_observed && now.since(reported.crash.at) < crash_relay::RELAY_TIME
+        });
+        let observed = observed.map(|reported| crash_relay::ReplicaCrash {
+            address: reported.address,
+            crash: reported.crash.clone(),
+        });
+        observed.collect()
+    }
+
+    fn evaluate_if_due(
+        &mut self,
+        is_changed: bool,
+        now: units::Timestamp,
+    ) -> Vec<QuarantineChange> {
         let is_due = now.since(self.evaluated_at) >= EVALUATION_INTERVAL;
         if is_changed || (is_due && !self.crashes.is_empty()) {
             self.evaluate(now)
@@ -229,7 +269,7 @@
         let crashes = self
             .crashes
             .iter()
-            .filter(|reported| reported.broker == broker);
+            .filter(|reported| reported.address == broker);
         let cleared = crashes.map(|reported| {
             let suspects = reported.crash.suspects.iter();
             let cleared = suspects.filter(|suspect| suspect.is_cleared);
@@ -250,25 +290,29 @@
     }
 
     /// Adds a crash or what is new about it; false if nothing is.
-    fn record_crash(&mut self, broker: net::SocketAddr, mut crash: crash_log::EngineCrash) -> bool {
-        let key = (broker, crash.incarnation);
+    fn record_crash(
+        &mut self,
+        address: net::SocketAddr,
+        mut crash: crash_log::EngineCrash,
+        is_observed: bool,
+    ) -> bool {
+        let started = crash.suspects.iter().map(|suspect| suspect.part);
+        let started = started.filter(|part| self.starts.last_start(*part) > Some(crash.at));
+        let started: Vec<u64> = started.collect();
+        crash.clear(&started);
+        let key = (address, crash.incarnation);
         let found = self.crashes.binary_search_by_key(&key, |reported| {
-            (reported.broker, reported.crash.incarnation)
+            (reported.address, reported.crash.incarnation)
         });
         match found {
-            Ok(position) => {
-                let suspects = crash.suspects.iter().filter(|suspect| suspect.is_cleared);
-                let cleared: Vec<u64> = suspects.map(|suspect| suspect.part).collect();
-                self.crashes[position].crash.clear(&cleared)
-            }
+            Ok(position) => self.crashes[position].crash.merge(&crash),
             Err(position) => {
-                let suspects = crash.suspects.iter().map(|suspect| suspect.part);
-                let started =
-                    suspects.filter(|part| self.starts.last_start(*part) > Some(crash.at));
-                let started: Vec<u64> = started.collect();
-                crash.clear(&started);
-                self.crashes
-                    .insert(position, ReportedCrash { broker, crash });
+                let reported = ReportedCrash {
+                    address,
+                    crash,
+                    is_observed,
+                };
+                self.crashes.insert(position, reported);
                 self.drop_excess();
                 true
             }
@@ -299,8 +343,11 @@
             .map(|reported| &reported.crash)
             .collect();
         let mut blocked = Vec::new();
-        // A part that is blocked already explains its crashes before a newly suspected one does.
-        for known in earlier.iter().filter(|known| !known.is_adopted) {
+        // A part that is blocked already explains its crashes before a newly suspected one does, but
+        // a whole request does not, because a part may turn out to explain more.
+        let is_kept =
+            |known: &&BlockedPart| !known.is_adopted && !suspects::is_whole_request(known.part);
+        for known in earlier.iter().filter(is_kept) {
             let evidence = crash_evidence::PartEvidence::new(known.part, &unexplained);
             if evidence.crashes() >= MIN_CRASHES {
                 unexplained.retain(|crash| !crash.suspects_part(known.part));
@@ -309,7 +356,9 @@
         }
         while let Some(evidence) = self.likeliest_cause(&unexplained, now) {
             unexplained.retain(|crash| !crash.suspects_part(evidence.part));
-            blocked.push(BlockedPart::new(&evidence, None));
+            let known = earlier.iter().find(|known| known.part == evidence.part);
+            let last_trial = known.and_then(|known| known.last_trial);
+            blocked.push(BlockedPart::new(&evidence, last_trial));
         }
         blocked.extend(self.adopted_parts(&blocked, now));
         blocked.sort_unstable_by_key(|blocked| blocked.part);
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -164,7 +164,7 @@
         if let Some(permit) = self.permits.remove(id, now) {
             self.unpin_adapter(&permit, now);
             if permit.is_starting(now) {
-                self.crashes.record_withdrawal(permit.prompt_parts, now);
+                self.crashes.record_withdrawal(permit.suspects, now);
             }
         }
     }
--- a/crates/decisions/tests/crash_log.rs
+++ b/crates/decisions/tests/crash_log.rs
@@ -22,7 +22,7 @@
 
 fn request(number: u64, parts: &[u64]) -> PermitRequest {
     PermitRequest {
-        prompt_parts: parts.to_vec(),
+        suspects: parts.to_vec(),
         ..support::request(number)
     }
 }
--- a/crates/decisions/tests/prompt_quarantine.rs
+++ b/crates/decisions/tests/prompt_quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use decisions::{crash_log::*, prompt_quarantine::*, units};
+use decisions::{crash_log::*, prompt_quarantine::*, suspects, units};
 
 const FIRST: u64 = 1;
 const SECOND: u64 = 2;
@@ -201,3 +201,52 @@
     quarantine.record_peer_verdicts(&[FIRST], at(2_500));
     assert_eq!(blocked_parts(&quarantine), []);
 }
+
+/// Reports a crash with the suspects in the order of a request's ids.
+fn report_crash(quarantine: &mut PromptQuarantine, number: u8, suspects: &[u64]) {
+    let millis = 1_000 + u64::from(number) * 300;
+    let reported = vec![crash(u64::from(number), millis, suspects)];
+    quarantine.record_crashes(broker(number), reported, at(millis));
+}
+
+// Guards against a request that is sent on because its prompt parts are sound, and against blocking
+// its parts, which other requests share.
+#[test]
+fn repeated_request_is_blocked_without_its_parts() {
+    let request = suspects::whole_request(77);
+    let mut quarantine = busy_quarantine();
+    for number in 1..=3 {
+        report_crash(&mut quarantine, number, &[FIRST, SECOND, request]);
+    }
+    assert_eq!(blocked_parts(&quarantine), [request]);
+    let other = suspects::whole_request(78);
+    assert_eq!(
+        quarantine.admit(&[FIRST, SECOND, other], ENTRIES, at(2_000)),
+        PromptAdmission::Allowed
+    );
+}
+
+// Guards against a crashing prompt part that is not found because the first crashes were all due to
+// repeats of one request.
+#[test]
+fn part_replaces_a_request_that_explains_less() {
+    let (first, second) = (suspects::whole_request(77), suspects::whole_request(78));
+    let mut quarantine = busy_quarantine();
+    for number in 1..=3 {
+        report_crash(&mut quarantine, number, &[FIRST, CAUSE, first]);
+    }
+    report_crash(&mut quarantine, 4, &[FIRST, CAUSE, second]);
+    assert_eq!(blocked_parts(&quarantine), [CAUSE]);
+}
+
+// Guards against a verdict on a request that ran soundly at another replica after the crashes.
+#[test]
+fn request_that_runs_soundly_is_not_blocked() {
+    let request = suspects::whole_request(77);
+    let mut quarantine = busy_quarantine();
+    for number in 1..=5 {
+        report_crash(&mut quarantine, number, &[request]);
+        quarantine.record_start(&[request], at(1_100 + u64::from(number) * 300));
+    }
+    assert!(blocked_parts(&quarantine).is_empty());
+}
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -24,6 +24,8 @@
     pub response: Option<responses::BufferedResponse>,
     /// The retry was already taken from the budget.
     pub has_reserved_retry: bool,
+    /// The replica's connection ended before its response was complete.
+    pub is_connection_lost: bool,
 }
 
 /// Attempts at one request so far.
@@ -51,6 +53,7 @@
             reason,
             response: None,
             has_reserved_retry: false,
+            is_connection_lost: false,
         }
     }
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -69,6 +69,22 @@
         }
     }
 
+    /// Whether the replica does not listen.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        source.kind() == io::ErrorKind::ConnectionRefused
+    }
+
+    /// Whether the connection ended before the head of the response, which a crash of the replica
+    /// may have caused.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        matches!(self, Self::Lost { .. })
+    }
+
     /// Label in logs and counters.
     #[must_use]
     pub fn label(&self) -> &'static str {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use broker::message;
 use bytes::Bytes;
-use decisions::{prompt_quarantine, response_length, retry_budget, units};
+use decisions::{lost_requests, prompt_quarantine, response_length, retry_budget, units};
 use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,7 +20,7 @@
 };
 
 /// Timeout of a new connection to a replica.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Time after a deadline in which the replica's own deadline response may still arrive.
 pub const RESPONSE_GRACE_PERIOD: time::Duration = time::Duration::from_millis(120);
 /// Maximum number of failed connections per request.
@@ -39,6 +39,9 @@
     pub budget: Mutex<retry_budget::RetryBudget>,
     pub lengths: Mutex<response_length::ResponseLengths>,
     pub quarantine: Mutex<prompt_quarantine::PromptQuarantine>,
+    pub lost_requests: Mutex<lost_requests::LostRequests>,
+    /// Signals a crash that other gateways must learn of.
+    pub crash_observed: Notify,
     pub pool: connections::ConnectionPool,
     pub buffers: Arc<buffers::BufferBudget>,
     pub request_logger: request_logger::RequestLogger,
@@ -115,6 +118,8 @@
             catalog: Mutex::default(),
             lengths: Mutex::default(),
             quarantine: Mutex::new(quarantine::new(incarnation)),
+            lost_requests: Mutex::default(),
+            crash_observed: Notify::new(),
             pool: connections::ConnectionPool::default(),
             request_logger: request_logger::RequestLogger::new(logger),
             metrics,
@@ -133,10 +138,9 @@
 
     /// Records the state of an engine, as its broker reports it.
     pub fn record_view(&self, replica: &str, mut view: message::EngineView) {
-        let crashes = std::mem::take(&mut view.crashes);
-        let is_idle = crashes.is_empty() && view.blocked_parts.is_empty();
-        if !is_idle || !self.quarantine.lock().is_idle() {
-            self.record_quarantine(replica, crashes, &view.blocked_parts);
+        let evidence = std::mem::take(&mut view.evidence);
+        if !evidence.is_empty() || !self.quarantine.lock().is_idle() {
+            self.record_quarantine(replica, evidence);
         }
         let is_current = self.replicas.lock().record_view(replica, view, self.now());
         if !is_current {
@@ -195,6 +199,9 @@
                 }
                 Err(AttemptError::Failed(failure)) => failure,
             };
+            if failure.is_connection_lost {
+                self.record_lost_request(plan, &failure.replica);
+            }
             let is_retried = self.may_retry(plan, history, &failure);
             let replica = &failure.replica;
             self.request_logger
@@ -216,15 +223,15 @@
         history: &mut attempts::AttemptHistory,
         resume_after: Option<u64>,
     ) -> Result<OpenAttempt, AttemptError> {
-        self.admit_prompt(plan, history)
+        self.admit_request(plan, history)
             .map_err(AttemptError::Refused)?;
         let placement::AssignedReplica {
             replica,
             permit,
             version,
         } = self.assign_replica(plan, history).await?;
-        // A part of its prompt may have been blocked while it waited for the permit.
-        self.admit_prompt(plan, history)
+        // It may have been blocked while it waited for the permit.
+        self.admit_request(plan, history)
             .map_err(AttemptError::Refused)?;
         self.replicas.lock().record_send(&replica.id);
         let guard = AttemptGuard {
@@ -369,6 +376,7 @@
             }
             SendFailure::Connection(error) => {
                 failure.reason = error.label();
+                failure.is_connection_lost = error.is_lost();
                 replicas.record_outcome(&replica.id, true, now);
             }
             SendFailure::Unresponsive => {
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Heartbeats to the brokers of all engines.
 
-use std::{sync::Arc, time};
+use std::{net, sync::Arc, time};
 
 use broker::{client, message};
 use futures::{StreamExt, stream};
@@ -20,24 +20,15 @@
 pub async fn poll_brokers(dispatcher: Arc<dispatch::Dispatcher>) {
     let mut lost: Vec<String> = Vec::new();
     loop {
-        let views =
-            stream::iter(configured_engines(&dispatcher, |_| true)).map(|(replica, spec)| {
-                let dispatcher = Arc::clone(&dispatcher);
-                async move {
-                    let now = dispatcher.now();
-                    let view = replica
-                        .broker
-                        .heartbeat(
-                            dispatcher.incarnation,
-                            spec,
-                            replica.adapters_hash,
-                            dispatcher.quarantine_report(replica.broker.address()),
-                            now,
-                        )
-                        .await;
-                    (replica.id, view)
-                }
-            });
+        let relays = &dispatcher.crash_relays();
+        let engines = configured_engines(&dispatcher, |_| true);
+        let views = stream::iter(engines).map(|(replica, spec)| {
+            let dispatcher = Arc::clone(&dispatcher);
+            async move {
+                let view = call_broker(&dispatcher, &replica, spec, relays).await;
+                (replica.id, view)
+            }
+        });
         let mut views = std::pin::pin!(views.buffer_unordered(MAX_PARALLEL_HEARTBEATS));
         while let Some((id, view)) = views.next().await {
             let was_lost = lost.binary_search(&id);
@@ -72,28 +63,55 @@
 pub async fn flush_released_permits(dispatcher: Arc<dispatch::Dispatcher>) {
     loop {
         tokio::time::sleep(FLUSH_INTERVAL).await;
-        let due = configured_engines(&dispatcher, |replica| replica.broker.has_released());
-        let views = due.into_iter().map(|(replica, spec)| {
-            let dispatcher = Arc::clone(&dispatcher);
-            async move {
-                let now = dispatcher.now();
-                let entry = dispatcher.incarnation;
-                // A failure is reported by the next heartbeat, which sends the same releases.
-                let known = replica.adapters_hash;
-                let report = dispatcher.quarantine_report(replica.broker.address());
-                let view = replica
-                    .broker
-                    .heartbeat(entry, spec, known, report, now)
-                    .await;
-                if let Ok(view) = view {
-                    dispatcher.record_view(&replica.id, view);
-                }
-            }
-        });
-        futures::future::join_all(views).await;
+        call_brokers(&dispatcher, |replica| replica.broker.has_released()).await;
     }
 }
 
+/// Sends a heartbeat to the brokers that relay crashes.
+pub async fn call_relays(dispatcher: &Arc<dispatch::Dispatcher>) {
+    let relays = dispatcher.crash_relays();
+    call_brokers(dispatcher, |replica| {
+        relays.contains(&replica.broker.address())
+    })
+    .await;
+}
+
+/// Sends a heartbeat to the brokers of all engines for which `is_selected` holds.
+async fn call_brokers(
+    dispatcher: &Arc<dispatch::Dispatcher>,
+    is_selected: impl Fn(&replica::Replica) -> bool,
+) {
+    let due = configured_engines(dispatcher, is_selected);
+    if due.is_empty() {
+        return;
+    }
+    let relays = &dispatcher.crash_relays();
+    let views = due.into_iter().map(|(replica, spec)| {
+        let dispatcher = Arc::clone(dispatcher);
+        async move {
+            // A failure is reported by the next heartbeat, which sends the same state.
+            if let Ok(view) = call_broker(&dispatcher, &replica, spec, relays).await {
+                dispatcher.record_view(&replica.id, view);
+            }
+        }
+    });
+    futures::future::join_all(views).await;
+}
+
+/// Sends a heartbeat to the broker of an engine and returns the engine's state.
+async fn call_broker(
+    dispatcher: &dispatch::Dispatcher,
+    replica: &replica::ChosenReplica,
+    spec: message::EngineSpec,
+    relays: &[net::SocketAddr],
+) -> Result<message::EngineView, client::CallError> {
+    let report = dispatcher.quarantine_report(replica.broker.address(), relays);
+    let (entry, known) = (dispatcher.incarnation, replica.adapters_hash);
+    let now = dispatcher.now();
+    let broker = &replica.broker;
+    broker.heartbeat(entry, spec, known, report, now).await
+}
+
 /// Engines of all services for which `is_selected` holds, with their specs.
 fn configured_engines(
     dispatcher: &dispatch::Dispatcher,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod buffers;
 pub mod catalog;
 pub mod connections;
+pub mod crash_watch;
 pub mod dispatch;
 pub mod drain;
 pub mod follower;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -199,7 +199,7 @@
             }),
             request: plan.request.id.clone(),
             priority: plan.route.priority,
-            prompt_parts: generation.prompt_parts,
+            suspects: plan.suspects.clone(),
             prompt_tokens: generation.prompt_tokens,
             output_tokens,
             objective: plan.objective_left().saturating_sub(FIRST_EVENT_LATENCY),
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
+use decisions::suspects;
 use http::request;
 use tokio::time::Instant;
 use xxhash_rust::xxh3;
@@ -29,6 +30,9 @@
     pub is_long: bool,
     /// Version of the configuration used for the request.
     pub configuration: u64,
+    /// Ids of the prompt parts that other requests may share, in order, then that of all requests
+    /// with the same content.
+    pub suspects: Vec<u64>,
 }
 
 impl RequestPlan {
@@ -69,6 +73,12 @@
                 catalog.adapter(&generation.model, generation.adapter.as_deref()?)
             })
             .unwrap_or(0);
+        let mut suspects = request
+            .generation
+            .as_ref()
+            .map_or_else(Vec::new, |generation| generation.prompt_parts.clone());
+        let content = hash_content(&route.name, &head, &request.host, &body);
+        suspects.push(suspects::whole_request(content));
         Ok(Self {
             deadline: received_at + wait,
             request,
@@ -81,6 +91,7 @@
             adapter_version,
             is_long: false,
             configuration: current.version,
+            suspects,
         })
     }
 
@@ -117,19 +128,17 @@
         Some((&generation.model, generation.adapter.as_deref()?))
     }
 
-    /// Parts of the prompt that other requests may share, in order.
+    /// Ids of what may crash a replica, for the log, in hexadecimal.
     #[must_use]
-    pub fn prompt_parts(&self) -> &[u64] {
-        let generation = self.request.generation.as_ref();
-        generation.map_or(&[], |generation| &generation.prompt_parts)
+    pub fn suspects_text(&self) -> String {
+        let ids = self.suspects.iter().map(|id| format!("{id:x}"));
+        ids.collect::<Vec<_>>().join(" ")
     }
 
-    /// Prompt parts for the log, in hexadecimal.
+    /// Id of all requests with the same content.
     #[must_use]
-    pub fn prompt_parts_text(&self) -> Option<String> {
-        let parts = self.prompt_parts().iter().map(|part| format!("{part:x}"));
-        let text = parts.collect::<Vec<_>>().join(" ");
-        (!text.is_empty()).then_some(text)
+    pub fn content_id(&self) -> u64 {
+        self.suspects.last().copied().unwrap_or_default()
     }
 
     /// Whether the response is an event stream.
@@ -138,3 +147,17 @@
         matches!(self.route.kind, catalog::RouteKind::Stream { .. })
     }
 }
+
+/// Hash of what a caller asks for, without its id and its deadline. The name of the route is not known
+/// to callers, so that they cannot aim at the hash of another request.
+fn hash_content(route: &str, head: &request::Parts, host: &str, body: &[u8]) -> u64 {
+    let mut hasher = xxh3::Xxh3::with_seed(xxh3::xxh3_64(route.as_bytes()));
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    for field in [head.method.as_str(), host, path] {
+        hasher.update(field.as_bytes());
+        // Keeps the end of one field from counting as the start of the next.
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    hasher.digest()
+}
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -10,7 +10,8 @@
 pub struct GenerationRequest {
     pub model: String,
     pub adapter: Option<String>,
-    /// Parts of the prompt that other requests may share, in order.
+    /// Ids of the prompt parts that other requests may share, in order
+    /// ([`decisions::suspects::prompt_part`]).
     pub prompt_parts: Vec<u64>,
     pub prompt_tokens: u32,
     pub max_output_tokens: u32,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -155,6 +155,12 @@
         self.missing_until.is_some_and(|until| now >= until)
     }
 
+    /// Whether its broker has reported an engine.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        self.view.is_some()
+    }
+
     /// Sort key of an order that all entries share.
     #[must_use]
     pub fn address_hash(&self) -> u64 {
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -16,6 +16,9 @@
 /// Time for which an unreachable replica is not chosen.
 const UNREACHABLE_PERIOD: time::Duration = time::Duration::from_millis(1200);
 
+/// Number of brokers that relay crashes, so that the loss of some of them does not matter.
+const RELAY_COUNT: usize = 3;
+
 /// Change of the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ReplicaTableChange {
@@ -120,6 +123,31 @@
         found.is_some_and(|position| self.is_usable(&self.replicas[position], now))
     }
 
+    /// Replica that accepts requests, without the fields of a request.
+    #[must_use]
+    pub fn find_available(
+        &self,
+        id: &str,
+        now: units::Timestamp,
+    ) -> Option<replica::ChosenReplica> {
+        let replica = &self.replicas[self.find(id).ok()?];
+        let is_available = replica.accepts_requests(now) && !self.is_leaving(replica);
+        is_available.then(|| replica.to_chosen(now))
+    }
+
+    /// Addresses of the brokers that relay crashes between gateways. All gateways that know the
+    /// same engines choose the same ones.
+    #[must_use]
+    pub fn relays(&self) -> Vec<net::SocketAddr> {
+        let engines = self.replicas.iter().filter(|replica| replica.is_engine());
+        let mut brokers: Vec<_> = engines
+            .map(|replica| (replica.address_hash(), replica.broker.address()))
+            .collect();
+        brokers.sort_unstable();
+        brokers.truncate(RELAY_COUNT);
+        brokers.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Records what a replica has said about itself; true if it leaves and that was not known.
     pub fn record_notice(
         &mut self,
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -45,7 +45,8 @@
             "request" => &plan.request.id, "route" => &plan.route.name,
             "configuration" => plan.configuration, "replica" => &replica.id,
             "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
-            "adapter_version" => version, "prompt_parts" => plan.prompt_parts_text(), "is_long" => plan.is_long,
+            "adapter_version" => version, "suspects" => plan.suspects_text(),
+            "is_long" => plan.is_long,
             "expected_ms" => millis(replica.expected_wait),
             "view_age_ms" => replica.view_age.map(millis),
             "left_ms" => millis(plan.time_left()));
@@ -65,6 +66,13 @@
             "is_repeated" => is_retried, "left_ms" => millis(plan.time_left()));
     }
 
+    /// Logs a request that is kept from replicas, because it or a part of its prompt crashes them.
+    pub fn log_blocked(&self, plan: &plan::RequestPlan) {
+        slog::info!(self.logger, "request blocked";
+            "event" => events::REQUEST_BLOCKED.number, "name" => events::REQUEST_BLOCKED.name,
+            "request" => &plan.request.id, "suspects" => plan.suspects_text());
+    }
+
     /// Logs a local reply.
     pub fn log_local_reply(&self, request: &str, reply: &local_reply::LocalReply) {
         let event = match reply.status {
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -95,7 +95,9 @@
             Ok(Err(error)) => {
                 self.replicas.lock().record_outcome(&id, true, self.now());
                 let reason = self.record_body_error(plan, &id, &error);
-                Err(unknown(reason))
+                let mut failure = unknown(reason);
+                failure.is_connection_lost = matches!(error, BodyError::Broken);
+                Err(failure)
             }
             Err(_) => Err(unknown("timeout")),
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,7 +26,9 @@
     time::Instant,
 };
 
-use crate::{attempts, dispatch, drain, follower, heartbeats, local_reply, plan, relay, store};
+use crate::{
+    attempts, crash_watch, dispatch, drain, follower, heartbeats, local_reply, plan, relay, store,
+};
 
 /// Body of a response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
@@ -74,6 +76,7 @@
     background.spawn(follower::follow_replicas(Arc::clone(&dispatcher), store));
     background.spawn(heartbeats::poll_brokers(Arc::clone(&dispatcher)));
     background.spawn(heartbeats::flush_released_permits(Arc::clone(&dispatcher)));
+    background.spawn(crash_watch::share_crashes(Arc::clone(&dispatcher)));
     background.spawn(serve_readiness(
         readiness,
         Arc::clone(&dispatcher),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -45,6 +45,7 @@
     RESPONSE_OVER_LIMIT = 310, "response_over_limit";
     PROMPT_PART_BLOCKED = 311, "prompt_part_blocked";
     PROMPT_PART_ALLOWED = 312, "prompt_part_allowed";
+    REQUEST_BLOCKED = 313, "request_blocked";
     ADAPTER_LOADED = 401, "adapter_loaded";
     ADAPTER_EVICTED = 402, "adapter_evicted";
     ADAPTER_LOAD_FAILED = 403, "adapter_load_failed";
@@ -65,6 +66,7 @@
     PLACE_REFUSED = 418, "place_refused";
     ENGINE_CRASHED = 419, "engine_crashed";
     REPLICA_PAUSED = 420, "replica_paused";
+    REPLICA_CRASHED = 421, "replica_crashed";
     CONFIGURATION_APPLIED = 501, "configuration_applied";
     PATCH_REFUSED = 502, "patch_refused";
     LOG_UNAVAILABLE = 503, "log_unavailable";
--- a/tests/support/platform_cluster.rs
+++ b/tests/support/platform_cluster.rs
@@ -34,7 +34,7 @@
 impl PlatformCluster {
     /// Starts all processes and waits until the gateways are ready.
     pub async fn start(gateway_count: usize, engine_count: u8) -> Self {
-        let platform = StandInDeployment::start_with_engines(engine_count)
+        let platform = StandInDeployment::start_with(engine_count, deployment::PLAIN_REPLICA_COUNT)
             .await
             .unwrap();
         let broker_port = process::free_address().port();
