Load no more adapters than fit into an engine's memory

Cause: the memory for weights and the sizes of models and adapters in the configuration were not read.

Change: the capacity that brokers get is the smaller one of slots and memory, beside all base models that the engine lists.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -73,10 +73,12 @@
 }
 
 /// Capacity and base models of a service's engines.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineLimits {
     pub slots: u32,
     pub adapter_slots: u32,
+    /// Memory for base models and adapters together, in MB, if the configuration states it.
+    pub memory_mb: Option<f64>,
     /// Base models, in the order of the configuration.
     pub models: Vec<BaseModel>,
 }
@@ -85,21 +87,52 @@
     /// Usual time in which an engine loads a base model, if known.
     #[must_use]
     pub fn model_load_time(&self, name: &str) -> Option<time::Duration> {
-        let model = self.models.iter().find(|model| model.name == name)?;
-        model.load_time
+        self.model(name)?.load_time
+    }
+
+    /// Number of adapters of a base model that an engine with the `loaded` base models can hold,
+    /// by its slots and by its memory.
+    #[must_use]
+    pub fn adapter_capacity(&self, model: &str, loaded: &[String]) -> u32 {
+        let in_memory = self.adapters_in_memory(model, loaded);
+        in_memory.map_or(self.adapter_slots, |count| count.min(self.adapter_slots))
+    }
+
+    /// Number of adapters that fit into the memory; `None` if a size is not stated.
+    fn adapters_in_memory(&self, model: &str, loaded: &[String]) -> Option<u32> {
+        let adapter_size_mb = self
+            .model(model)?
+            .adapter_size_mb
+            .filter(|size| *size > 0.0)?;
+        let others = loaded.iter().filter(|name| *name != model);
+        let names = others.map(String::as_str).chain([model]);
+        let sizes = names.map(|name| self.model(name).and_then(|model| model.size_mb));
+        let taken_mb: f64 = sizes.sum::<Option<f64>>()?;
+        let count = ((self.memory_mb? - taken_mb) / adapter_size_mb).floor();
+        // Saturates at the bounds of the integer.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        Some(count as u32)
+    }
+
+    fn model(&self, name: &str) -> Option<&BaseModel> {
+        self.models.iter().find(|model| model.name == name)
     }
 }
 
 /// Base model of a service's engines.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct BaseModel {
     pub name: String,
+    /// Memory that it takes, in MB, if the configuration states it.
+    pub size_mb: Option<f64>,
+    /// Memory that each of its adapters takes, in MB, if the configuration states it.
+    pub adapter_size_mb: Option<f64>,
     /// Usual time of a load, if the configuration states it.
     pub load_time: Option<time::Duration>,
 }
 
 /// Service of the configuration.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
     pub name: String,
     /// Connections that one replica accepts in total.
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -49,8 +49,8 @@
     pub incarnation: u64,
     pub address: net::SocketAddr,
     pub broker: Arc<client::BrokerClient>,
-    /// Base model that the replica has loaded.
-    pub model: Option<String>,
+    /// Base models that the replica has loaded.
+    pub models: Vec<String>,
     /// The adapter is known to be loaded.
     pub is_loaded: bool,
     /// Loaded version of the adapter, if known.
@@ -184,7 +184,7 @@
             incarnation: self.record.incarnation,
             address: self.record.address,
             broker: Arc::clone(&self.broker),
-            model: self.record.models.first().map(|loaded| loaded.name.clone()),
+            models: self.loaded_models(),
             is_loaded: false,
             version: None,
             expected_wait: time::Duration::ZERO,
@@ -193,6 +193,11 @@
         }
     }
 
+    fn loaded_models(&self) -> Vec<String> {
+        let models = self.record.models.iter();
+        models.map(|loaded| loaded.name.clone()).collect()
+    }
+
     /// Recent view from the broker, if it is of this incarnation.
     #[must_use]
     pub fn fresh_view(&self, now: units::Timestamp) -> Option<&message::EngineView> {
@@ -337,14 +342,14 @@
     engine: &catalog::EngineLimits,
     model: &str,
 ) -> message::EngineSpec {
-    let model = replica.model.as_deref().unwrap_or(model);
+    let model = replica.models.first().map_or(model, String::as_str);
     message::EngineSpec {
         identity: message::EngineIdentity {
             id: replica.id.clone(),
             incarnation: replica.incarnation,
         },
         capacity: message::EngineCapacity {
-            adapter_slots: engine.adapter_slots,
+            adapter_slots: engine.adapter_capacity(model, &replica.models),
             batch_slots: engine.slots,
         },
         model: model.to_owned(),
