Take the declared adapter version anew for each attempt

Cause: the declared version was read once, when the request arrived.

Change: each attempt reads it, and reads it again after its permit.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -176,7 +176,7 @@
     /// Makes attempts until there is a final outcome, and records them in `history`.
     pub async fn run(
         self: &Arc<Self>,
-        plan: &plan::RequestPlan,
+        plan: &mut plan::RequestPlan,
         history: &mut attempts::AttemptHistory,
     ) -> DispatchOutcome {
         self.budget.lock().record_request(&plan.service, self.now());
@@ -219,20 +219,25 @@
     /// [`AttemptError`] when there is no replica or no usable response.
     pub async fn attempt(
         self: &Arc<Self>,
-        plan: &plan::RequestPlan,
+        plan: &mut plan::RequestPlan,
         history: &mut attempts::AttemptHistory,
         resume_after: Option<u64>,
     ) -> Result<OpenAttempt, AttemptError> {
         self.admit_request(plan, history)
             .map_err(AttemptError::Refused)?;
+        plan.refresh_adapter_version(&self.catalog.lock());
         let placement::AssignedReplica {
             replica,
             permit,
             version,
         } = self.assign_replica(plan, history).await?;
-        // It may have been blocked while it waited for the permit.
+        // It may have been blocked, or its adapter replaced, while it waited for the permit.
         self.admit_request(plan, history)
             .map_err(AttemptError::Refused)?;
+        plan.refresh_adapter_version(&self.catalog.lock());
+        if version.is_some_and(|granted| granted < plan.adapter_version) {
+            return Err(AttemptError::not_sent(&replica.id, "version_replaced"));
+        }
         self.replicas.lock().record_send(&replica.id);
         let guard = AttemptGuard {
             dispatcher: Arc::clone(self),
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -24,7 +24,7 @@
     pub received_at: Instant,
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
-    /// Declared version of the adapter; 0 if none is declared.
+    /// Declared version of the adapter at the newest attempt; 0 if none is declared.
     pub adapter_version: u32,
     /// The response may become longer than most.
     pub is_long: bool,
@@ -66,20 +66,13 @@
         let wait = request
             .deadline
             .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-        let adapter_version = request
-            .generation
-            .as_ref()
-            .and_then(|generation| {
-                catalog.adapter(&generation.model, generation.adapter.as_deref()?)
-            })
-            .unwrap_or(0);
         let mut suspects = request
             .generation
             .as_ref()
             .map_or_else(Vec::new, |generation| generation.prompt_parts.clone());
         let content = hash_content(&route.name, &head, &request.host, &body);
         suspects.push(suspects::whole_request(content));
-        Ok(Self {
+        let mut plan = Self {
             deadline: received_at + wait,
             request,
             route,
@@ -88,11 +81,24 @@
             head,
             body,
             received_at,
-            adapter_version,
+            adapter_version: 0,
             is_long: false,
             configuration: current.version,
             suspects,
-        })
+        };
+        plan.refresh_adapter_version(catalog);
+        Ok(plan)
+    }
+
+    /// Takes over the declared version of the adapter, which may be newer than that of the last
+    /// attempt.
+    pub fn refresh_adapter_version(&mut self, catalog: &catalog::ServingCatalog) {
+        let declared = self
+            .adapter()
+            .and_then(|(model, adapter)| catalog.adapter(model, adapter));
+        if let Some(version) = declared {
+            self.adapter_version = self.adapter_version.max(version);
+        }
     }
 
     /// Time until the deadline.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -213,7 +213,7 @@
             let after = self.splitter.last_id().or(self.plan.request.resume_after);
             let attempt = self
                 .dispatcher
-                .attempt(&self.plan, &mut history, after)
+                .attempt(&mut self.plan, &mut history, after)
                 .await;
             self.sent_count = history.sent_count;
             self.dispatcher.metrics.record_retry(reason);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -257,13 +257,13 @@
 
 async fn dispatch_request(
     dispatcher: &Arc<dispatch::Dispatcher>,
-    plan: plan::RequestPlan,
+    mut plan: plan::RequestPlan,
     mut monitor: drain::DrainMonitor,
 ) -> Response<ResponseBody> {
     let mut history = attempts::AttemptHistory::default();
     let outcome = tokio::select! {
         biased;
-        outcome = dispatcher.run(&plan, &mut history) => outcome,
+        outcome = dispatcher.run(&mut plan, &mut history) => outcome,
         () = monitor.wait_for(drain::ServingPhase::Ending) => {
             dispatch::DispatchOutcome::Local(history.abandoned_reply())
         }
