Keep the bodies of requests within a memory budget

Cause: bodies were collected without a common budget and kept until their requests ended.

Change: bodies share a budget of half of the memory; one without room is refused as not run. The last attempt that a route allows holds the only copy, which is free once it is written.

--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -1,6 +1,7 @@
-//! Memory for responses that are buffered, shared by all requests of a gateway.
+//! Memory for requests and responses that are buffered, shared by all requests of a gateway.
 //!
-//! A broken replica may send without end. What one response may hold is limited, and so is what all
+//! Bodies of requests have a budget of their own: one without room is refused before it is read. A
+//! broken replica may send without end. What one response may hold is limited, and so is what all
 //! of them hold together while they are read: beyond that a response is abandoned, and new requests are
 //! refused until others are complete. A complete response no longer counts while its caller reads it.
 
@@ -13,6 +14,8 @@
 
 /// Share of the instance's memory for buffered responses: one in this many.
 const BUFFER_SHARE: usize = 4;
+/// Share of the instance's memory for bodies of requests: one in this many.
+const UPLOAD_SHARE: usize = 2;
 /// Share of the budget for one response: one in this many.
 const RESPONSE_SHARE: usize = 8;
 /// Maximum length of a buffered response.
@@ -23,7 +26,7 @@
 const MIN_EVENT_BYTES: usize = 16 * 1024;
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// Limits on the bytes that are buffered for responses.
+/// Limits on the bytes that are buffered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BufferLimits {
     /// All responses together.
@@ -32,6 +35,8 @@
     pub response_bytes: usize,
     /// One event of a stream.
     pub event_bytes: usize,
+    /// Bodies of all requests together.
+    pub upload_bytes: usize,
 }
 
 impl BufferLimits {
@@ -43,49 +48,47 @@
             total_bytes,
             response_bytes: (total_bytes / RESPONSE_SHARE).min(MAX_RESPONSE_BYTES),
             event_bytes: (total_bytes / EVENT_SHARE).clamp(MIN_EVENT_BYTES, MAX_EVENT_BYTES),
+            upload_bytes: memory_bytes / UPLOAD_SHARE,
         }
     }
 }
 
-/// Limit that a response exceeded.
+/// Limit that a buffer exceeded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum BufferError {
-    #[snafu(display("the response has more than {limit} bytes"))]
-    ResponseTooLong { limit: usize },
-    #[snafu(display("the buffered responses have more than {limit} bytes"))]
+    #[snafu(display("the buffer has more than {limit} bytes"))]
+    BufferTooLong { limit: usize },
+    #[snafu(display("all buffers have more than {limit} bytes"))]
     BudgetExhausted { limit: usize },
 }
 
-/// Bytes that are buffered for all responses.
+/// Bytes that all buffers of one kind use.
 #[derive(Debug)]
 pub struct BufferBudget {
-    limits: BufferLimits,
+    total_bytes: usize,
+    /// Maximum length of one buffer.
+    buffer_bytes: usize,
     used: AtomicUsize,
 }
 
 impl BufferBudget {
-    /// Unused budget.
+    /// Unused budget for all buffers together, with the maximum length of one of them.
     #[must_use]
-    pub fn new(limits: BufferLimits) -> Self {
+    pub fn new(total_bytes: usize, buffer_bytes: usize) -> Self {
         Self {
-            limits,
+            total_bytes,
+            buffer_bytes,
             used: AtomicUsize::new(0),
         }
     }
 
-    /// Limits of the budget.
-    #[must_use]
-    pub fn limits(&self) -> BufferLimits {
-        self.limits
-    }
-
     /// Whether so little is left that new requests are refused; open ones may use the rest.
     #[must_use]
     pub fn is_nearly_exhausted(&self) -> bool {
-        self.used.load(Ordering::Relaxed) > self.limits.total_bytes / 4 * 3
+        self.used.load(Ordering::Relaxed) > self.total_bytes / 4 * 3
     }
 
-    /// Empty reservation for one response.
+    /// Empty reservation for one buffer.
     #[must_use]
     pub fn reserve(self: &Arc<Self>) -> BufferReservation {
         BufferReservation {
@@ -95,7 +98,7 @@
     }
 }
 
-/// Part of the budget that one response uses, returned when dropped.
+/// Part of the budget that one buffer uses, returned when dropped.
 #[derive(Debug)]
 pub struct BufferReservation {
     budget: Arc<BufferBudget>,
@@ -106,21 +109,18 @@
     /// Raises the reservation to the capacity of a buffer that is to hold `length` bytes.
     ///
     /// # Errors
-    /// [`BufferError`] when the response or all responses together exceed their limit.
+    /// [`BufferError`] when the buffer or all buffers together exceed their limit.
     pub fn grow_to(&mut self, length: usize, capacity: usize) -> Result<(), BufferError> {
-        let limits = self.budget.limits;
-        if length > limits.response_bytes {
-            return Err(BufferError::ResponseTooLong {
-                limit: limits.response_bytes,
-            });
+        let limit = self.budget.buffer_bytes;
+        if length > limit {
+            return Err(BufferError::BufferTooLong { limit });
         }
         let additional = capacity.saturating_sub(self.bytes);
         let earlier = self.budget.used.fetch_add(additional, Ordering::Relaxed);
         self.bytes += additional;
-        if earlier + additional > limits.total_bytes {
-            return Err(BufferError::BudgetExhausted {
-                limit: limits.total_bytes,
-            });
+        let limit = self.budget.total_bytes;
+        if earlier + additional > limit {
+            return Err(BufferError::BudgetExhausted { limit });
         }
         Ok(())
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -36,6 +36,9 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
+/// Label of [`SendError::NotSent`].
+pub const NOT_SENT_LABEL: &str = "connection_closed";
+
 /// Reason why a request has no response.
 #[derive(Debug, Snafu)]
 pub enum SendError {
@@ -50,7 +53,15 @@
         limit: time::Duration,
     },
     #[snafu(display("the connection closed before the request was sent"))]
-    NotSent,
+    NotSent {
+        /// Body of the request, which may be sent again.
+        body: Bytes,
+    },
+    #[snafu(display("cannot set up the connection to {address}: {source}"))]
+    Handshake {
+        address: net::SocketAddr,
+        source: hyper::Error,
+    },
     #[snafu(display("the connection broke after the request was sent: {source}"))]
     Lost { source: hyper::Error },
     #[snafu(display("the head of the response has more than {limit} bytes"))]
@@ -64,7 +75,10 @@
     #[must_use]
     pub fn is_unsent(&self) -> bool {
         match self {
-            Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent => true,
+            Self::Connect { .. }
+            | Self::ConnectTimeout { .. }
+            | Self::Handshake { .. }
+            | Self::NotSent { .. } => true,
             Self::Lost { .. } | Self::HeadTooLong { .. } | Self::InterimOverflow { .. } => false,
         }
     }
@@ -91,7 +105,7 @@
         match self {
             Self::Connect { .. } => "connect_failed",
             Self::ConnectTimeout { .. } => "connect_timeout",
-            Self::NotSent => "connection_closed",
+            Self::NotSent { .. } | Self::Handshake { .. } => NOT_SENT_LABEL,
             Self::Lost { .. } => "connection_lost",
             Self::HeadTooLong { .. } => "head_too_long",
             Self::InterimOverflow { .. } => "interim_overflow",
@@ -136,7 +150,7 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|_| SendError::NotSent)?;
+            .context(HandshakeSnafu { address })?;
         let driver = tokio::spawn(async move {
             // An error reaches the request on the connection, if there is one.
             let _ = driver.await;
@@ -164,13 +178,17 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.ready().await.map_err(|_| SendError::NotSent)?;
+        if self.sender.ready().await.is_err() {
+            let body = recover_body(request).await;
+            return Err(SendError::NotSent { body });
+        }
         let interim_count = self.limit_interim_responses(&mut request);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
-                if error.take_message().is_some() {
-                    return Err(SendError::NotSent);
+                if let Some(request) = error.take_message() {
+                    let body = recover_body(request).await;
+                    return Err(SendError::NotSent { body });
                 }
                 let limit = MAX_INTERIM_RESPONSES;
                 if interim_count.load(Ordering::Relaxed) > limit {
@@ -194,6 +212,12 @@
     }
 }
 
+/// Body of a request that was not sent.
+async fn recover_body(request: Request<Full<Bytes>>) -> Bytes {
+    let body = request.into_body().collect().await;
+    body.map_or_else(|never| match never {}, Collected::to_bytes)
+}
+
 fn lost_error(source: hyper::Error) -> SendError {
     if source.is_parse_too_large() {
         let limit = MAX_HEAD_BYTES;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -43,7 +43,11 @@
     /// Signals a crash that other gateways must learn of.
     pub crash_observed: Notify,
     pub pool: connections::ConnectionPool,
+    pub buffer_limits: buffers::BufferLimits,
+    /// Budget of buffered responses.
     pub buffers: Arc<buffers::BufferBudget>,
+    /// Budget of the bodies of requests.
+    pub uploads: Arc<buffers::BufferBudget>,
     pub request_logger: request_logger::RequestLogger,
     pub metrics: metrics::GatewayMetrics,
     /// Signals that replies contradict the known replicas.
@@ -105,13 +109,22 @@
         // Used until brokers have reported the number of entries.
         let entries = u32::try_from(settings.data_centres.len()).unwrap_or(u32::MAX);
         let entries = entries.max(1).saturating_mul(2);
+        let memory = settings.buffer_limits();
         Self {
             replicas: Mutex::new(replica_table::ReplicaTable::new(
                 &settings.data_centre,
                 settings.broker_port,
             )),
             budget: Mutex::new(retry_budget::RetryBudget::new(limits, entries)),
-            buffers: Arc::new(buffers::BufferBudget::new(settings.buffer_limits())),
+            buffer_limits: memory,
+            buffers: Arc::new(buffers::BufferBudget::new(
+                memory.total_bytes,
+                memory.response_bytes,
+            )),
+            uploads: Arc::new(buffers::BufferBudget::new(
+                memory.upload_bytes,
+                memory.upload_bytes,
+            )),
             settings,
             incarnation,
             wire,
@@ -254,13 +267,25 @@
         history.sent_count += 1;
         self.request_logger
             .log_send(plan, &replica, history.sent_count, version);
+        let is_last = history.sent_count >= plan.route.max_attempts;
         let request = self.build_request(plan, &replica, version, resume_after);
+        if is_last {
+            // Only the request holds the body now, so that its memory is free once it is written.
+            plan.body = Bytes::new();
+        }
         let can_switch = plan.route.kind == catalog::RouteKind::Safe;
         let head = self
             .receive_head(plan, history, can_switch, connection.send(request))
             .await;
         let response = match head {
             Ok(response) => response,
+            Err(SendFailure::Connection(connections::SendError::NotSent { body })) => {
+                if is_last {
+                    plan.body = body;
+                }
+                let reason = connections::NOT_SENT_LABEL;
+                return Err(AttemptError::not_sent(&replica.id, reason));
+            }
             Err(reason) => return Err(self.record_send_failure(&replica, reason).into()),
         };
         let (head, body) = response.into_parts();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod settings;
 pub mod sse;
 pub mod store;
+pub mod uploads;
--- a/crates/gateway/src/local_reply.rs
+++ b/crates/gateway/src/local_reply.rs
@@ -4,6 +4,8 @@
 
 use broker::message;
 
+use crate::uploads;
+
 /// Response of the gateway itself, with the reason for logs and counters.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LocalReply {
@@ -26,7 +28,7 @@
 impl LocalReply {
     pub const NO_CONFIGURATION: Self = Self::not_run("no_configuration", STARTUP_RETRY_DELAY);
     pub const NO_REPLICA: Self = Self::not_run("no_replica", STARTUP_RETRY_DELAY);
-    /// The buffered responses use almost all memory that is meant for them.
+    /// Buffered requests or responses use almost all memory that is meant for them.
     pub const BUFFERS_FULL: Self = Self::not_run("buffers_full", BUFFER_RETRY_DELAY);
     /// All engines that were asked have restarted under other ids.
     pub const ENGINE_REPLACED: Self = Self::not_run("engine_replaced", REPLICA_READ_DELAY);
@@ -67,6 +69,16 @@
         })
     }
 
+    /// Reply to a request whose body was not read.
+    #[must_use]
+    pub fn unread_body(error: uploads::UploadError) -> Self {
+        match error {
+            uploads::UploadError::TooLong => Self::BODY_TOO_LARGE,
+            uploads::UploadError::Broken => Self::BAD_REQUEST,
+            uploads::UploadError::NoMemory => Self::BUFFERS_FULL,
+        }
+    }
+
     /// Reply to a request that got no permit from any broker.
     #[must_use]
     pub fn no_permit(reason: message::RefusalReason, retry_after: time::Duration) -> Self {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -53,7 +53,7 @@
     attempt: dispatch::OpenAttempt,
     sent_count: u32,
 ) -> impl Stream<Item = RelayFrame> + Send {
-    let splitter = sse::EventSplitter::new(dispatcher.buffers.limits().event_bytes);
+    let splitter = sse::EventSplitter::new(dispatcher.buffer_limits.event_bytes);
     let relay = StreamRelay {
         dispatcher,
         plan,
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -141,7 +141,7 @@
             return "answer_broken";
         };
         let (reason, limit) = match error {
-            buffers::BufferError::ResponseTooLong { limit } => ("answer_too_long", *limit),
+            buffers::BufferError::BufferTooLong { limit } => ("answer_too_long", *limit),
             buffers::BufferError::BudgetExhausted { limit } => ("buffers_full", *limit),
         };
         self.metrics.record_over_limit(reason);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     attempts, crash_watch, dispatch, drain, follower, heartbeats, local_reply, plan, relay, store,
+    uploads,
 };
 
 /// Body of a response to a caller.
@@ -229,12 +230,12 @@
         .current()
         .map(|current| current.limits);
     let limit = limits.map_or(usize::MAX, |limits| limits.body_bytes);
-    let body = match http_body_util::Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return build_local_reply(dispatcher, &id, &local_reply::LocalReply::BODY_TOO_LARGE);
+    let body = match uploads::read_body(body, limit, &dispatcher.uploads).await {
+        Ok(body) => body,
+        Err(error) => {
+            let reply = local_reply::LocalReply::unread_body(error);
+            return build_local_reply(dispatcher, &id, &reply);
         }
-        Err(_) => return build_local_reply(dispatcher, &id, &local_reply::LocalReply::BAD_REQUEST),
     };
     if dispatcher.buffers.is_nearly_exhausted() {
         return build_local_reply(dispatcher, &id, &local_reply::LocalReply::BUFFERS_FULL);
--- a/crates/gateway/tests/buffers.rs
+++ b/crates/gateway/tests/buffers.rs
@@ -1,23 +1,20 @@
-//! Budget of the bytes that are buffered for responses.
+//! Budget of the bytes that are buffered.
 
 use std::sync::Arc;
 
 use gateway::buffers::{BufferBudget, BufferError, BufferLimits};
 
-const LIMITS: BufferLimits = BufferLimits {
-    total_bytes: 1_000,
-    response_bytes: 400,
-    event_bytes: 100,
-};
+const TOTAL_BYTES: usize = 1_000;
+const RESPONSE_BYTES: usize = 400;
 
 // Guards against a response, or many of them, that hold more than their limit.
 #[test]
 fn limits_hold_for_one_and_for_all_responses() {
-    let budget = Arc::new(BufferBudget::new(LIMITS));
+    let budget = Arc::new(BufferBudget::new(TOTAL_BYTES, RESPONSE_BYTES));
     let mut one = budget.reserve();
     assert_eq!(
         one.grow_to(401, 401),
-        Err(BufferError::ResponseTooLong { limit: 400 })
+        Err(BufferError::BufferTooLong { limit: 400 })
     );
     assert_eq!(one.grow_to(400, 400), Ok(()));
     let mut second = budget.reserve();
@@ -33,7 +30,7 @@
 // Guards against a budget that is not returned, which would refuse all requests for good.
 #[test]
 fn dropped_reservations_are_returned() {
-    let budget = Arc::new(BufferBudget::new(LIMITS));
+    let budget = Arc::new(BufferBudget::new(TOTAL_BYTES, RESPONSE_BYTES));
     for _ in 0..10 {
         let mut reservations: Vec<_> = (0..4).map(|_| budget.reserve()).collect();
         let failed = reservations
@@ -51,6 +48,7 @@
     let small = BufferLimits::of_memory(160_000_000);
     assert_eq!(small.total_bytes, 40_000_000);
     assert_eq!(small.response_bytes, 5_000_000);
+    assert_eq!(small.upload_bytes, 80_000_000);
     assert!(small.event_bytes * 512 <= small.total_bytes);
     let large = BufferLimits::of_memory(4_000_000_000);
     assert_eq!(large.response_bytes, 16 * 1024 * 1024);
