Forget calls that waited for a permit when they are released

Cause: a release removed the request from the slot broker, so that no outcome removed the call from the engine's state.

Change: a release removes it as well.

Evidence: released_calls_are_forgotten kept 100 of 100 calls before (99 released) and keeps one now.

--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Releases the permits of an entry.
+    /// Releases the permits of an entry, and forgets the calls that still waited for them.
     pub fn release(&mut self, entry: u64, numbers: &[u64], now: units::Timestamp) {
         for number in numbers {
             let id = permits::PermitId {
@@ -119,6 +119,7 @@
                 number: *number,
             };
             self.broker.release(id, now);
+            self.waiting.retain(|permit| permit.id != id);
         }
     }
 
