--- a/tests/endless_replicas.rs
+++ b/tests/endless_replicas.rs
@@ -52,14 +52,12 @@
         let _broker =
             process::ChildProcess::start("broker", "broker-0", &broker_settings, directory.path());
         let (callers, readiness) = (process::free_address(), process::free_address());
-        let settings = serde_json::json!({
-            "instance": "front-0", "data_centre": "north",
-            "listen": {"callers": callers, "readiness": readiness,
-                "metrics": process::free_address()},
-            "store": platform.store.address(), "broker_port": broker_port,
-            "data_centres": ["north"], "leave_ms": 1000, "memory_mb": MEMORY_MB,
-            "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10},
-            "shutdown": {"grace_s": 4, "rotation_ms": 200},
+        let settings = process::gateway_settings(&process::GatewayAddresses {
+            callers,
+            readiness,
+            store: platform.store.address(),
+            broker_port,
+            memory_mb: MEMORY_MB,
         });
         let gateway =
             process::ChildProcess::start("gateway", "front-0", &settings, directory.path());
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -158,3 +158,25 @@
     }
     panic!("no free port");
 }
+
+/// Addresses and memory of a gateway process.
+pub struct GatewayAddresses {
+    pub callers: net::SocketAddr,
+    pub readiness: net::SocketAddr,
+    pub store: net::SocketAddr,
+    pub broker_port: u16,
+    pub memory_mb: usize,
+}
+
+/// Settings of one gateway process.
+pub fn gateway_settings(addresses: &GatewayAddresses) -> serde_json::Value {
+    serde_json::json!({
+        "instance": "front-0", "data_centre": "north",
+        "listen": {"callers": addresses.callers, "readiness": addresses.readiness,
+            "metrics": free_address()},
+        "store": addresses.store, "broker_port": addresses.broker_port,
+        "data_centres": ["north"], "leave_ms": 1000, "memory_mb": addresses.memory_mb,
+        "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10},
+        "shutdown": {"grace_s": 4, "rotation_ms": 200},
+    })
+}
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -42,14 +42,12 @@
         }
         let directory = tempfile::tempdir().unwrap();
         let (callers, readiness) = (process::free_address(), process::free_address());
-        let settings = serde_json::json!({
-            "instance": "front-0", "data_centre": "north",
-            "listen": {"callers": callers, "readiness": readiness,
-                "metrics": process::free_address()},
-            "store": platform.store.address(), "broker_port": 1,
-            "data_centres": ["north"], "leave_ms": 1000, "memory_mb": MEMORY_MB,
-            "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10},
-            "shutdown": {"grace_s": 4, "rotation_ms": 200},
+        let settings = process::gateway_settings(&process::GatewayAddresses {
+            callers,
+            readiness,
+            store: platform.store.address(),
+            broker_port: 1,
+            memory_mb: MEMORY_MB,
         });
         let gateway =
             process::ChildProcess::start("gateway", "front-0", &settings, directory.path());
