--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -472,14 +472,19 @@
             self.fleet.record.write(f"{self.role} {self.name} is ended by signal {int(number)}")
 
     def rss_mb(self):
-        text = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
-        line = next(line for line in text.splitlines() if line.startswith("VmRSS"))
-        return int(line.split()[1]) / 1000
+        """Memory in use; 0 while the process starts or ends."""
+        with contextlib.suppress(OSError):
+            for line in pathlib.Path(f"/proc/{self.child.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS"):
+                    return int(line.split()[1]) / 1000
+        return 0.0
 
 
 class Fleet:
     """A small deployment: a store, replicas, gateways, and a broker beside each engine."""
 
+    replica_kind = Service
+
     def __init__(self, case):
         self.case = pathlib.Path(case)
         self.record = Record(self.case / "record.txt")
@@ -517,7 +522,7 @@
             self.engines.append(engine)
             await engine.start()
         for number in range(services):
-            replica = Service(self, "wuno96b", f"127.0.2.{number + 1}", self.free_port())
+            replica = self.replica_kind(self, "wuno96b", f"127.0.2.{number + 1}", self.free_port())
             self.services.append(replica)
             await replica.start()
         self.config = self.configuration(**options)
