Add a review case: odd entries lock live engines out for good

Cause: an entry with fields missing counts as a newer replica at its address, and a broker never forgets the newest incarnation that it was told.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
