--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -484,6 +484,7 @@
     """A small deployment: a store, replicas, gateways, and a broker beside each engine."""
 
     replica_kind = Service
+    engine_kind = Engine
 
     def __init__(self, case):
         self.case = pathlib.Path(case)
@@ -517,7 +518,7 @@
         await self.store.listen("127.0.0.1", self.store_port)
         self.broker_port = self.free_port()
         for number in range(engines):
-            engine = Engine(self, "huvo11a", f"127.0.1.{number + 1}", self.free_port(), self.model)
+            engine = self.engine_kind(self, "huvo11a", f"127.0.1.{number + 1}", self.free_port(), self.model)
             engine.has_model = model_ready
             self.engines.append(engine)
             await engine.start()
