--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""Clients read their answers slowly; a gateway holds the answers beyond its memory."""
+"""A replica breaks its stream off inside an event that begins with a comment line."""
 
 import asyncio
 import os
 import pathlib
-import socket
+import random
 import sys
 
 CASE = pathlib.Path(__file__).resolve().parent
@@ -12,134 +12,81 @@
 import fleet as standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMORY_MB = 160
-CLIENTS = 48
-ANSWER_BYTES = 4 * 1024 * 1024
-UNREAD_S = 6.0
-WAVES = 3
+# "comment": the break is in the comment line; "data": in the line after it, which is handled well.
+CUT = os.environ.get("CUT", "comment")
+SHARE = 0.03
+PIECES = 11
 
 
-class Documents(standin.Service):
-    """A replica with short and long answers, which it sends as fast as they are read."""
+class Engine(standin.Engine):
+    """Its answers have neither a length nor chunks and end with their connection."""
 
-    async def serve(self, request, reader, writer):
+    draw = random.Random(7)
+
+    async def generate(self, request, writer):
+        id = request.get("cowslipdeal-attempt-id")
         if request.get("cowslipdeal-expect-instance") not in (None, self.id):
             writer.write(standin.whole(421, b"", self.reply_headers(request)))
             return
         self.fleet.arrived(self, request)
-        await asyncio.sleep(self.work)
-        headers = self.reply_headers(request)
-        headers["Cowslipdeal-Response-Signature"] = f"{self.id}.{request.get('cowslipdeal-attempt-id')}"
-        headers["Cowslipdeal-Server-Load"] = f"1,0,{self.slots},100"
-        length = 800 if request.target.endswith("/short") else ANSWER_BYTES
-        writer.write(standin.whole(200, b"x" * length, headers))
-        await writer.drain()
+        first = int(request.get("last-event-id", 0)) + 1
+        broken_at = None
+        if TROUBLE and first == 1 and self.draw.random() < SHARE:
+            broken_at = self.draw.randrange(2, PIECES + 1)
+        self.runs[id] = 0
+        try:
+            await asyncio.sleep(self.prefill)
+            headers = self.reply_headers(request)
+            headers["Cowslipdeal-Response-Signature"] = f"{self.id}.{id}"
+            headers["Content-Type"] = "text/event-stream"
+            headers["Connection"] = "close"
+            writer.write(standin.head_bytes(200, headers))
+            for number in range(first, PIECES + 1):
+                comment = b": keep-alive"
+                event = comment + b"\nid: %d\ndata: %s %d/%d\n\n" % (number, id.encode(), number, PIECES)
+                if number == broken_at:
+                    length = len(comment) - 3 if CUT == "comment" else event.index(b"data:") + 8
+                    writer.write(event[:length])
+                    self.fleet.record.write(f"{self.id} breaks off {id} inside event {number}")
+                    return False
+                writer.write(event)
+                self.runs[id] = number
+                await writer.drain()
+                await asyncio.sleep(0.01)
+        finally:
+            self.runs.pop(id, None)
+        return False
 
 
 class Fleet(standin.Fleet):
-    replica_kind = Documents
-
-    def configuration(self, **options):
-        configuration = super().configuration(**options)
-        for route in configuration["routes"]:
-            route["timeout_ms"] = 15000
-        return configuration
-
-    def gateway_settings(self, process, **options):
-        return super().gateway_settings(process, memory_mb=MEMORY_MB, **options)
-
-
-class Client:
-    """A client with a kept connection and a small window."""
-
-    def __init__(self, fleet, gateway):
-        self.fleet, self.gateway, self.socket = fleet, gateway, None
-
-    async def receive(self, size):
-        data = await asyncio.get_running_loop().sock_recv(self.socket, size)
-        if not data:
-            raise ConnectionError("the gateway closed the connection")
-        return data
-
-    async def call(self, path, unread_s):
-        """One request; true if its whole answer came."""
-        loop = asyncio.get_running_loop()
-        id = self.fleet.attempt_id()
-        text = (f"GET {path} HTTP/1.1\r\nHost: x.example\r\nCowslipdeal-Attempt-Id: {id}\r\n"
-                "Cowslipdeal-Deadline-Ms: 15000\r\n\r\n")
-        try:
-            if self.socket is None:
-                self.socket = socket.socket()
-                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-                self.socket.setblocking(False)
-                await loop.sock_connect(self.socket, (self.gateway.ip, self.gateway.port))
-            await loop.sock_sendall(self.socket, text.encode())
-            data = await self.receive(4096)
-            await asyncio.sleep(unread_s)
-            while b"\r\n\r\n" not in data:
-                data += await self.receive(4096)
-            head, _, body = data.partition(b"\r\n\r\n")
-            lines = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length")]
-            length, got = int(lines[0].split(b":")[1]), len(body)
-            while got < length:
-                got += len(await self.receive(1 << 20))
-            self.fleet.record.write(f"request {id} to {self.gateway.name}: {head[9:12].decode()}, {got} bytes")
-            return id, True
-        except (OSError, IndexError) as error:
-            self.fleet.record.write(f"request {id} to {self.gateway.name}: no whole answer, {error}")
-            self.close()
-            return id, False
-
-    def close(self):
-        if self.socket:
-            self.socket.close()
-            self.socket = None
+    engine_kind = Engine
 
 
 async def play(fleet):
-    await fleet.begin(gateways=2, engines=1, services=3)
-    ends, peaks = {}, {}
-
-    async def platform(gateway):
-        """Ends a process that exceeds its memory, and starts it again after a short delay."""
-        while True:
-            rss = gateway.rss_mb()
-            peaks[gateway.name] = max(rss, peaks.get(gateway.name, 0))
-            if rss > MEMORY_MB:
-                fleet.record.write(f"{gateway.name} has {rss:.0f} MB of {MEMORY_MB} MB and is killed")
-                ends[gateway.name] = ends.get(gateway.name, 0) + 1
-                await gateway.kill()
-                await asyncio.sleep(1)
-                await gateway.start()
-                await fleet.until_ready([gateway])
-            await asyncio.sleep(0.02)
-
-    watching = [asyncio.create_task(platform(gateway)) for gateway in fleet.gateways]
-    clients = [Client(fleet, fleet.gateways[number % 2]) for number in range(2 * CLIENTS)]
-    cut = []
-    for wave in range(WAVES):
-        fleet.record.write(f"wave {wave}: each client asks for a short and a long answer on its connection")
-
-        async def one(number, client):
-            # Some requests a second at each gateway, as many as the replicas can take.
-            await asyncio.sleep(number * 0.04)
-            await client.call(f"/cufi504/{wave}/{number}/short", 0)
-            id, answered = await client.call(f"/cufi504/{wave}/{number}", UNREAD_S if TROUBLE else 0)
-            if not answered:
-                cut.append(id)
-
-        await asyncio.gather(*(one(number, client) for number, client in enumerate(clients)))
-        await asyncio.sleep(2)
-    for task in watching:
-        task.cancel()
-    for client in clients:
-        client.close()
-    reached = {request.get("cowslipdeal-attempt-id") for _, _, request in fleet.arrivals}
-    lost = [id for id in cut if id in reached]
-    fleet.record.write(f"RESULT: {len(lost)} requests from kept connections were passed on to a replica and "
-                       f"ended without a whole answer (3 are allowed); processes ended by their memory: "
-                       f"{ends}; peaks in MB: { {name: round(peak) for name, peak in peaks.items()} }")
-    return len(lost) > 3
+    await fleet.begin(gateways=2, engines=4, services=0)
+    results = []
+
+    async def one(gateway):
+        id, answer = await fleet.generation(gateway, f"5c1e07a2:60,{next(fleet.numbers):x}:200")
+        lines = answer.body.split(b"\n")
+        ids = [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+        looks_complete = answer.status == 200 and answer.complete
+        results.append((id, looks_complete, ids))
+        fleet.record.write(f"request {id} to {gateway.name}: {answer.status}, "
+                           f"{'whole' if looks_complete else 'broken'}, last piece {ids[-1:]}")
+
+    open_requests = []
+    for _ in range(400):
+        for gateway in fleet.gateways:
+            open_requests.append(asyncio.create_task(one(gateway)))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*open_requests)
+    short = [id for id, looks_complete, ids in results
+             if looks_complete and ids != list(range(1, PIECES + 1))]
+    whole = sum(1 for _, looks_complete, _ in results if looks_complete)
+    fleet.record.write(f"RESULT: {len(short)} of {len(results)} streams ended as complete before their last "
+                       f"piece; {whole - len(short)} came whole")
+    return bool(short)
 
 
 standin.run(CASE, play, Fleet)
