--- a/review/10/case.py
+++ b/review/10/case.py
@@ -13,8 +13,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 160
-CLIENTS = 48
-ANSWER_BYTES = 4 * 1024 * 1024
+CLIENTS = 37
+ANSWER_BYTES = 4_700_000
 UNREAD_S = 6.0
 WAVES = 3
 
