--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,7 +14,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # "comment": the break is in the comment line; "data": in the line after it, which is handled well.
 CUT = os.environ.get("CUT", "comment")
-SHARE = 0.03
+# The site's largest dose of unframed answers: half of the replicas, 0.05 of their answers, for 5 s.
+BROKEN_SHARE, FROM_S, FOR_S = 0.05, 5.0, 5.0
+REPLICAS = 2
 PIECES = 11
 
 
@@ -31,8 +33,10 @@
         self.fleet.arrived(self, request)
         first = int(request.get("last-event-id", 0)) + 1
         broken_at = None
-        if TROUBLE and first == 1 and self.draw.random() < SHARE:
-            broken_at = self.draw.randrange(2, PIECES + 1)
+        since = self.fleet.record.now() - FROM_S
+        is_disturbed = TROUBLE and self in self.fleet.engines[:REPLICAS] and 0 <= since < FOR_S
+        if is_disturbed and self.draw.random() < BROKEN_SHARE and first <= PIECES - 1:
+            broken_at = self.draw.randrange(max(2, first), PIECES + 1)
         self.runs[id] = 0
         try:
             await asyncio.sleep(self.prefill)
@@ -76,10 +80,10 @@
                            f"{'whole' if looks_complete else 'broken'}, last piece {ids[-1:]}")
 
     open_requests = []
-    for _ in range(400):
+    while fleet.record.now() < FROM_S + FOR_S + 3:
         for gateway in fleet.gateways:
             open_requests.append(asyncio.create_task(one(gateway)))
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.025)
     await asyncio.gather(*open_requests)
     short = [id for id, looks_complete, ids in results
              if looks_complete and ids != list(range(1, PIECES + 1))]
