Treat a stream that ends within a comment line as broken off

Callers saw: a stream whose replica stopped within a comment line of an event (": keep-al") ended as complete, without its last events and with a piece of the comment, although it could be resumed.

Cause: `EventSplitter::has_partial` did not count an unfinished line that begins with a colon or a carriage return, nor a comment line whose event has no field yet, as part of an event. With a body that ends with its connection nothing else shows the break, so the relay finished the stream. A comment belongs to the event in which it stands: an event is any number of comments and fields up to a blank line.

Without the fix 4 cases of `any_part_of_an_event_is_partial` and case 11 of `partial_response_never_looks_complete` fail: after one byte of the event the caller gets status 200 and the complete body ":".

Change: any bytes since the last blank line are a partial event. The relay then resumes or aborts the stream as it does for a break within a field.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -2,7 +2,8 @@
 //!
 //! Only complete events are passed on, so that a stream that breaks in the middle of an event can
 //! be resumed at another replica. Comments and blank lines are kept until the event that follows
-//! them. A replica that sends nothing else, or an event without an end, exceeds the limit.
+//! them. A comment belongs to the event in which it stands, so a stream that ends after it, without
+//! the blank line that ends an event, is incomplete. A replica that sends nothing else, or an event without an end, exceeds the limit.
 
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
@@ -23,6 +24,8 @@
     buffer: BytesMut,
     /// Start of the first line of the buffer that has not ended.
     line_start: usize,
+    /// A line of the current event, maybe a comment, has ended.
+    has_line: bool,
     /// A line of the current event, which is not a comment, has ended.
     has_field: bool,
     /// Id of the newest complete event.
@@ -37,6 +40,7 @@
             limit,
             buffer: BytesMut::new(),
             line_start: 0,
+            has_line: false,
             has_field: false,
             newest_id: None,
         }
@@ -72,14 +76,14 @@
     /// Whether an event has begun that is not complete.
     #[must_use]
     pub fn has_partial(&self) -> bool {
-        let unfinished = self.buffer.get(self.line_start);
-        self.has_field || unfinished.is_some_and(|first| !matches!(first, b':' | b'\r'))
+        self.has_line || self.buffer.len() > self.line_start
     }
 
     /// Drops the incomplete event that a broken stream has left.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
         self.line_start = 0;
+        self.has_line = false;
         self.has_field = false;
     }
 
@@ -99,13 +103,16 @@
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             let next_line = line_end + 1;
             match line.first() {
-                None if self.has_field => {
+                None => {
+                    if self.has_field {
+                        end_of_event = Some(next_line);
+                    }
                     self.has_field = false;
-                    end_of_event = Some(next_line);
                 }
-                None | Some(b':') => {}
+                Some(b':') => {}
                 Some(_) => self.has_field = true,
             }
+            self.has_line = !line.is_empty();
             self.line_start = next_line;
             search_from = next_line;
         }
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -45,6 +45,25 @@
     assert_eq!(splitter.last_id(), Some(8));
 }
 
+// Guards against a stream that looks complete although it ended within an event, be it in a comment
+// line or in the line end after one.
+#[test_case(b"id: 2\ndata: b\n\n"; "fields")]
+#[test_case(b": keep-alive\nid: 2\ndata: b\n\n"; "a comment before the fields")]
+#[test_case(b"id: 2\n: keep-alive\ndata: b\n\n"; "a comment between the fields")]
+#[test_case(b": keep-alive\r\nid: 2\r\ndata: b\r\n\r\n"; "lines that end with a carriage return")]
+#[test_case(b": keep-alive\n\n"; "a comment alone")]
+#[test_case(b"\r\n"; "a blank line with a carriage return")]
+fn any_part_of_an_event_is_partial(event: &[u8]) {
+    for length in 1..event.len() {
+        let mut splitter = EventSplitter::new(LIMIT);
+        splitter.push(b"id: 1\ndata: a\n\n").unwrap();
+        splitter.push(&event[..length]).unwrap();
+        assert!(splitter.has_partial(), "{length} bytes");
+        splitter.push(&event[length..]).unwrap();
+        assert!(!splitter.has_partial(), "{length} bytes and the rest");
+    }
+}
+
 // Guards against bytes without end that are kept or passed on.
 #[test_case(b"data: no end "; "event")]
 #[test_case(b": comment\n\n"; "comments")]
