Require a run beyond the start, at one replica, as proof of a sound request

Callers saw: with a prompt part that crashes replicas right after their first event, the part was never held back. Each such request ended two engines, and the sound streams there broke off.

Cause: `StreamRelay::record_event` took the second event of a request as proof that its prompt is sound, and the time of the last event outlived `resume`. The first event of the first engine and the first event of the second one, each of which crashed after it, were two; the proof cleared the part of all earlier crashes at all gateways.

Change: a request is proven when one replica has sent events for the 150 ms in which the brokers count a request as just started (one constant now, `suspects::START_PERIOD`), or when its response has ended whole. Only a proven request skips the quarantine when it is resumed.

--- a/crates/decisions/src/permit_table.rs
+++ b/crates/decisions/src/permit_table.rs
@@ -7,15 +7,12 @@
 
 use std::time;
 
-use crate::{engine_status, permits, units};
+use crate::{engine_status, permits, suspects, units};
 
 /// Time from the grant of a permit to the request's arrival at the engine.
 const ARRIVAL_TIME: time::Duration = time::Duration::from_millis(12);
 /// Time after which a request that the engine never reported has ended or will not arrive.
 const UNREPORTED_LIMIT: time::Duration = time::Duration::from_millis(250);
-/// Time for which a request counts as one that has just started. An engine reports a run before
-/// the first event has left it.
-const START_PERIOD: time::Duration = time::Duration::from_millis(150);
 /// Mean prompt length and mean hold time before the first measurements.
 const INITIAL_MEAN_TOKENS: f64 = 2_000.0;
 const INITIAL_HOLD_TIME: time::Duration = time::Duration::from_millis(700);
@@ -43,7 +40,7 @@
     #[must_use]
     pub fn is_starting(&self, now: units::Timestamp) -> bool {
         let started_at = self.started_at;
-        started_at.is_none_or(|started_at| now.since(started_at) < START_PERIOD)
+        started_at.is_none_or(|started_at| now.since(started_at) < suspects::START_PERIOD)
     }
 }
 
--- a/crates/decisions/src/suspects.rs
+++ b/crates/decisions/src/suspects.rs
@@ -2,6 +2,12 @@
 //!
 //! Both kinds share one number space, so that crashes are attributed to either of them alike.
 
+use std::time;
+
+/// Time for which a request counts as one that has just started. An engine that its input crashes ends
+/// in this time, maybe with the first events sent.
+pub const START_PERIOD: time::Duration = time::Duration::from_millis(150);
+
 /// Set in the ids of whole requests.
 const REQUEST_BIT: u64 = 1 << 63;
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -46,8 +46,8 @@
     pub connect_failures: usize,
     /// At least one attempt ran or may have run.
     pub may_have_run: bool,
-    /// An attempt has brought events, so that the prompt does not crash engines.
-    pub has_started: bool,
+    /// An attempt has shown that the request does not crash replicas.
+    pub is_proven: bool,
     /// The request tries a blocked prompt part.
     pub is_trial: bool,
 }
@@ -70,13 +70,13 @@
 impl AttemptHistory {
     /// History of a stream that is to be resumed at another replica.
     #[must_use]
-    pub fn resumed(replica: &str, sent_count: u32, has_started: bool) -> Self {
+    pub fn resumed(replica: &str, sent_count: u32, is_proven: bool) -> Self {
         Self {
             excluded: vec![replica.to_owned()],
             sent_count,
             connect_failures: 0,
             may_have_run: true,
-            has_started,
+            is_proven,
             is_trial: false,
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -18,7 +18,7 @@
         plan: &plan::RequestPlan,
         history: &mut attempts::AttemptHistory,
     ) -> Result<(), local_reply::LocalReply> {
-        if history.has_started || history.may_make_trial() {
+        if history.is_proven || history.may_make_trial() {
             return Ok(());
         }
         if self.quarantine.lock().is_idle() {
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Records that a request has brought events or a response, so that it is sound.
+    /// Records that a request has run at a replica without a crash, so that it is sound.
     pub fn record_start(&self, plan: &plan::RequestPlan) {
         let now = self.now();
         let changes = self.quarantine.lock().record_start(&plan.suspects, now);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc};
 
 use bytes::Bytes;
+use decisions::suspects;
 use futures::{Stream, stream};
 use http::response;
 use http_body_util::BodyExt;
@@ -23,10 +24,12 @@
     sent_count: u32,
     timing: request_logger::StreamTiming,
     last_event_at: Option<Instant>,
+    /// First event of the replica that sends the stream now.
+    started_at: Option<Instant>,
     /// Most recent event, or the start of the attempt.
     progressed_at: Instant,
     is_ended: bool,
-    /// A second event, or the end, has shown that the engine survives the request.
+    /// One replica has sent events for longer than it takes to crash on the request, or all of them.
     is_proven: bool,
 }
 
@@ -62,6 +65,7 @@
         sent_count,
         timing: request_logger::StreamTiming::default(),
         last_event_at: None,
+        started_at: None,
         progressed_at: Instant::now(),
         is_ended: false,
         is_proven: false,
@@ -149,6 +153,10 @@
     fn record_event(&mut self) {
         let now = Instant::now();
         self.progressed_at = now;
+        let started_at = *self.started_at.get_or_insert(now);
+        if now.saturating_duration_since(started_at) >= suspects::START_PERIOD {
+            self.prove_prompt();
+        }
         let Some(earlier) = self.last_event_at.replace(now) else {
             self.timing.first_event = now.saturating_duration_since(self.plan.received_at);
             self.dispatcher
@@ -156,12 +164,11 @@
                 .record_first_event(self.timing.first_event);
             return;
         };
-        self.prove_prompt();
         let gap = now.saturating_duration_since(earlier);
         self.timing.longest_gap = self.timing.longest_gap.max(gap);
     }
 
-    /// Records once that the engine survives the request.
+    /// Records once that the request does not crash its replica.
     fn prove_prompt(&mut self) {
         if !self.is_proven {
             self.is_proven = true;
@@ -171,7 +178,7 @@
 
     fn finish(&mut self) {
         self.is_ended = true;
-        if self.last_event_at.is_some() {
+        if self.started_at.is_some() {
             self.prove_prompt();
         }
         let Some(attempt) = self.attempt.take() else {
@@ -203,8 +210,9 @@
         // Closes the connection before the stream is resumed elsewhere.
         drop(broken);
         self.splitter.discard_partial();
-        let mut history =
-            attempts::AttemptHistory::resumed(&from, self.sent_count, self.last_event_at.is_some());
+        // The first events of two replicas that crash do not prove the request.
+        self.started_at = None;
+        let mut history = attempts::AttemptHistory::resumed(&from, self.sent_count, self.is_proven);
         while is_resumable
             && history.sent_count < self.plan.route.max_attempts
             && self.plan.deadline > Instant::now()
