--- a/crates/decisions/src/crash_log.rs
+++ b/crates/decisions/src/crash_log.rs
@@ -15,8 +15,8 @@
 const WITHDRAWAL_PERIOD: time::Duration = time::Duration::from_millis(300);
 /// Maximum number of crashes that are kept; the oldest yields.
 const MAX_CRASHES: usize = 4;
-/// Maximum number of suspects of one crash.
-const MAX_SUSPECTS: usize = 128;
+/// Maximum number of suspects of one crash; more than one prompt has.
+const MAX_SUSPECTS: usize = 512;
 
 /// Prompt part of a request that an engine was about to start when it crashed.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
