Recognise a request that ends engines one after the other

Callers saw: after all gateways and brokers were killed, a prompt part that had been held back before ended four or five engines again, with the sound streams there.

Crashes within 200 ms count once, although the second engine got the request only after it was lost at the first one; the gateway repeated the request before its broker had told of the crash; a part needed 32 other starts; and at a tie the content of a repeated request was blocked in place of the part.

Change: a generation has an id (content and whole prompt); crashes under one generation count separately, and three of them need 8 other starts. At a tie a part is blocked before a whole request. A stream of a plain service that breaks off is counted as a lost request as well. Nothing is kept in the store, which may lose it.

--- a/crates/decisions/src/crash_log.rs
+++ b/crates/decisions/src/crash_log.rs
@@ -47,20 +47,37 @@
 }
 
 impl EngineCrash {
-    /// Crash of a replica that had requests with the suspects.
+    /// Crash of a replica that had requests with the suspects, in no order.
     #[must_use]
     pub fn new(
         incarnation: u64,
         suspects: impl Iterator<Item = u64>,
         at: units::Timestamp,
     ) -> Self {
-        let mut suspects: Vec<SuspectPart> = suspects
-            .map(|part| SuspectPart {
-                part,
-                position: 0,
-                is_cleared: false,
-            })
-            .collect();
+        let suspects = suspects.map(|part| SuspectPart {
+            part,
+            position: 0,
+            is_cleared: false,
+        });
+        Self::with_suspects(incarnation, suspects.collect(), at)
+    }
+
+    /// Crash of an engine that was about to start a request with the suspects, in the order of its
+    /// prompt.
+    #[must_use]
+    pub fn of_prompt(
+        incarnation: u64,
+        suspects: impl Iterator<Item = u64>,
+        at: units::Timestamp,
+    ) -> Self {
+        Self::with_suspects(incarnation, suspect_parts(suspects).collect(), at)
+    }
+
+    fn with_suspects(
+        incarnation: u64,
+        mut suspects: Vec<SuspectPart>,
+        at: units::Timestamp,
+    ) -> Self {
         suspects.sort_unstable();
         suspects.dedup_by_key(|suspect| suspect.part);
         Self {
@@ -161,10 +178,12 @@
         if incarnation == 0 || is_known {
             return None;
         }
-        let mut suspects: Vec<SuspectPart> = prompts.flat_map(suspect_parts).collect();
+        let mut suspects: Vec<SuspectPart> = prompts
+            .flat_map(|prompt| suspect_parts(prompt.iter().copied()))
+            .collect();
         for prompt in std::mem::take(&mut self.withdrawn) {
             if now.since(prompt.at) < WITHDRAWAL_PERIOD {
-                suspects.extend(suspect_parts(&prompt.parts));
+                suspects.extend(suspect_parts(prompt.parts.iter().copied()));
             }
         }
         suspects.sort_unstable();
@@ -207,13 +226,10 @@
     }
 }
 
-fn suspect_parts(prompt: &[u64]) -> impl Iterator<Item = SuspectPart> {
-    prompt
-        .iter()
-        .enumerate()
-        .map(|(position, part)| SuspectPart {
-            part: *part,
-            position: u8::try_from(position).unwrap_or(u8::MAX),
-            is_cleared: false,
-        })
+fn suspect_parts(prompt: impl Iterator<Item = u64>) -> impl Iterator<Item = SuspectPart> {
+    prompt.enumerate().map(|(position, part)| SuspectPart {
+        part,
+        position: u8::try_from(position).unwrap_or(u8::MAX),
+        is_cleared: false,
+    })
 }
--- a/crates/decisions/src/prompt_quarantine.rs
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -14,6 +14,9 @@
 //! more of them, because requests with a crashing part are repeated as well. An entry that sees few requests waits until other starts, or the
 //! reports of other entries, show that a common part would have started by now.
 //!
+//! A request that ends one replica is repeated at another one by its entry, and by its caller. Crashes that
+//! follow each other in this way within a moment have no common failure as their cause.
+//!
 //! Entries also tell each other, through the brokers, which parts they block on evidence of their own.
 //! An entry that has just started, or has not heard of all crashes, follows them.
 //!
@@ -30,6 +33,9 @@
 const MIN_OTHER_STARTS: u64 = 32;
 /// Starts without a part that suffice when other entries had time to report one with it.
 const MIN_SETTLED_STARTS: u64 = 4;
+/// Starts without a part that suffice when one request has ended replicas one after the other, so that
+/// one of its parts is the cause.
+const MIN_REPEATED_STARTS: u64 = 8;
 /// Time in which starts seen by other entries are reported by the brokers.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(1500);
 /// Time for which a crash counts.
@@ -388,15 +394,17 @@
             .binary_search_by_key(&part, |verdict| verdict.part)
     }
 
-    /// Part that explains most crashes. Among equals, the one that has not started for longest, then
-    /// the later one in the prompt, which fewer requests have.
+    /// Part that explains most crashes. Among equals, a part before a whole request, because requests
+    /// with a crashing part are repeated as well; then the one that has not started for longest, then the
+    /// later one in the prompt, which fewer requests have.
     fn likeliest_cause(
         &self,
         crashes: &[&crash_log::EngineCrash],
         now: units::Timestamp,
     ) -> Option<crash_evidence::PartEvidence> {
         let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
-        let uncleared = suspects.filter(|suspect| !suspect.is_cleared);
+        let uncleared = suspects
+            .filter(|suspect| !suspect.is_cleared && !suspects::is_generation(suspect.part));
         let mut parts: Vec<u64> = uncleared.map(|suspect| suspect.part).collect();
         parts.sort_unstable();
         parts.dedup();
@@ -408,6 +416,7 @@
             let last_start = self.starts.last_start(evidence.part);
             (
                 evidence.crashes(),
+                !suspects::is_whole_request(evidence.part),
                 cmp::Reverse(last_start),
                 evidence.position,
             )
@@ -422,8 +431,10 @@
     ) -> bool {
         let others = self.starts.starts_since(evidence.part);
         let is_settled = now.since(evidence.time_of(MIN_CRASHES)) >= SETTLE_TIME;
-        let is_unlikely =
-            others >= MIN_OTHER_STARTS || (is_settled && others >= MIN_SETTLED_STARTS);
+        let is_repeated = evidence.repeats() >= MIN_CRASHES;
+        let is_unlikely = others >= MIN_OTHER_STARTS
+            || (is_repeated && others >= MIN_REPEATED_STARTS)
+            || (is_settled && others >= MIN_SETTLED_STARTS);
         evidence.crashes() >= MIN_CRASHES && is_unlikely
     }
 }
--- a/crates/decisions/tests/prompt_quarantine.rs
+++ b/crates/decisions/tests/prompt_quarantine.rs
@@ -3,6 +3,7 @@
 use std::{net, time};
 
 use decisions::{crash_log::*, prompt_quarantine::*, suspects, units};
+use test_case::test_case;
 
 const FIRST: u64 = 1;
 const SECOND: u64 = 2;
@@ -97,6 +98,42 @@
     assert_eq!(blocked_parts(&quarantine), []);
 }
 
+/// Crashes of different engines that followed within a moment, each with a generation that was open
+/// there. The entry has seen few other starts.
+fn quarantine_of_quick_crashes(generations: &[u64]) -> PromptQuarantine {
+    let mut quarantine = PromptQuarantine::new(0.0);
+    for number in 0..10 {
+        quarantine.record_start(&[FIRST, SECOND], at(number));
+    }
+    for (number, generation) in (0..).zip(generations) {
+        let millis = 1000 + 80 * u64::from(number);
+        let mut parts = CRASHING_PROMPT.to_vec();
+        // Each generation has a content of its own.
+        parts.push(suspects::whole_request(*generation));
+        parts.push(suspects::generation(*generation));
+        let crash = crash(7, millis, &parts);
+        quarantine.record_crashes(broker(number), vec![crash], at(millis));
+    }
+    quarantine
+}
+
+// Guards against a part that ends further replicas because one request, which is sent to one replica
+// after the other, ends each of them within a moment.
+#[test]
+fn crashes_under_one_generation_count_separately() {
+    let quarantine = quarantine_of_quick_crashes(&[70, 70, 70]);
+    assert_eq!(blocked_parts(&quarantine), [CAUSE]);
+}
+
+// Guards against taking the loss of a rack for crashes one after the other, or a repeat for a cause.
+#[test_case(&[70, 71, 72]; "different generations")]
+#[test_case(&[70, 70]; "two replicas")]
+#[test_case(&[70, 71, 70, 71]; "two of each generation")]
+fn fewer_crashes_under_one_generation_block_nothing(generations: &[u64]) {
+    let quarantine = quarantine_of_quick_crashes(generations);
+    assert_eq!(blocked_parts(&quarantine), []);
+}
+
 // Guards against an entry that has just started and takes every part for one that never starts.
 #[test]
 fn new_entry_waits_for_starts_before_a_verdict() {
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -1,10 +1,12 @@
-//! Detection of crashed replicas of plain services, which have no broker beside them.
+//! Detection of crashed replicas by the requests that were lost there.
 //!
 //! A gateway that loses a request checks at once whether the replica still accepts connections. If
-//! it refuses them, the requests that were open there are the suspects of a crash, and the gateways
-//! tell each other through the brokers of a few engines.
+//! a replica of a plain service refuses them, the requests that were open there are the suspects of a
+//! crash, and the gateways tell each other through the brokers of a few engines. The crash of an engine
+//! is reported by its broker, with the requests of all gateways; the gateway that lost a request takes
+//! that request for a suspect before, so that its repeat meets the verdict.
 
-use std::sync::Arc;
+use std::{sync::Arc, time};
 
 use decisions::{crash_relay, lost_requests};
 use telemetry::events;
@@ -12,18 +14,22 @@
 
 use crate::{connections, dispatch, heartbeats, plan, replica};
 
+/// Time for the check of an engine, by which the repeat of the lost request is delayed at most.
+const ENGINE_CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(20);
+
 impl dispatch::Dispatcher {
-    /// Records a request whose connection ended without a complete response. The replica of a plain
-    /// service is checked unless it was leaving.
-    pub fn record_lost_request(self: &Arc<Self>, plan: &plan::RequestPlan, replica: &str) {
-        if plan.engine.is_some() {
-            return;
-        }
+    /// Records a request whose connection ended without a complete response. Its replica is checked
+    /// unless it was leaving.
+    pub async fn record_lost_request(self: &Arc<Self>, plan: &plan::RequestPlan, replica: &str) {
         let now = self.now();
         let found = self.replicas.lock().find_available(replica, now);
         let Some(replica) = found else {
             return;
         };
+        if plan.engine.is_some() {
+            self.check_engine(plan, &replica).await;
+            return;
+        }
         let start = replica_start(&replica);
         let action = self
             .lost_requests
@@ -40,6 +46,34 @@
         }
     }
 
+    /// Opens a connection to an engine; if it is refused, the request is a suspect of the crash.
+    async fn check_engine(&self, plan: &plan::RequestPlan, replica: &replica::ChosenReplica) {
+        if replica.incarnation == 0 {
+            // Its crash could not be told from the one that its broker reports.
+            return;
+        }
+        let opening = connections::ReplicaConnection::open(
+            replica.address,
+            &replica.id,
+            ENGINE_CHECK_TIMEOUT,
+        );
+        match opening.await {
+            Err(error) if error.is_refused() => {
+                let now = self.now();
+                let crash = plan.engine_crash(replica.incarnation, now);
+                let broker = replica.broker.address();
+                let changes = self
+                    .quarantine
+                    .lock()
+                    .record_crashes(broker, vec![crash], now);
+                self.log_quarantine(&changes);
+            }
+            // The broker reports what becomes of the engine.
+            Err(_) => {}
+            Ok(connection) => self.pool.put(connection, None),
+        }
+    }
+
     /// Opens a connection to a replica, and reports a crash if it is refused.
     async fn check_replica(
         &self,
--- a/crates/gateway/src/execution.rs
+++ b/crates/gateway/src/execution.rs
@@ -37,7 +37,7 @@
             };
             record_execution(plan, failure.execution);
             if failure.is_connection_lost {
-                self.record_lost_request(plan, &failure.replica);
+                self.record_lost_request(plan, &failure.replica).await;
             }
             let is_retried = self.may_retry(plan, history, &failure);
             let replica = &failure.replica;
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time};
 
 use bytes::Bytes;
-use decisions::{relative_speed, suspects};
+use decisions::{crash_log, relative_speed, suspects, units};
 use http::request;
 use tokio::time::Instant;
 use xxhash_rust::xxh3;
@@ -39,6 +39,8 @@
     /// Ids of the prompt parts that other requests may share, in order, then that of all requests
     /// with the same content.
     pub suspects: Vec<u64>,
+    /// Id of this generation and its repeats ([`suspects::generation`]).
+    generation_id: Option<u64>,
 }
 
 impl RequestPlan {
@@ -62,6 +64,11 @@
             .map_or_else(Vec::new, |generation| generation.prompt_parts.clone());
         let content = hash_content(&route.name, &head, &request.host, &body);
         suspects.push(suspects::whole_request(content));
+        let generation = request.generation.as_ref();
+        let generation_id = generation.and_then(|generation| generation.prompt_hash);
+        let generation_id = generation_id.map(|prompt| {
+            suspects::generation(xxh3::xxh3_64_with_seed(&prompt.to_le_bytes(), content))
+        });
         let mut plan = Self {
             deadline: received_at + wait,
             request,
@@ -78,6 +85,7 @@
             is_long: false,
             configuration: matched.configuration,
             suspects,
+            generation_id,
         };
         plan.refresh_adapter_version(catalog);
         plan
@@ -168,6 +176,13 @@
         self.suspects.last().copied().unwrap_or_default()
     }
 
+    /// Crash of an engine under the request.
+    #[must_use]
+    pub fn engine_crash(&self, incarnation: u64, at: units::Timestamp) -> crash_log::EngineCrash {
+        let suspects = self.suspects.iter().chain(&self.generation_id);
+        crash_log::EngineCrash::of_prompt(incarnation, suspects.copied(), at)
+    }
+
     /// Whether the response is an event stream.
     #[must_use]
     pub fn is_stream(&self) -> bool {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -15,6 +15,9 @@
     /// Ids of the prompt parts that other requests may share, in order
     /// ([`decisions::suspects::prompt_part`]).
     pub prompt_parts: Vec<u64>,
+    /// Hash of the whole prompt, also of the parts that belong to the request alone; `None` if it is
+    /// not stated.
+    pub prompt_hash: Option<u64>,
     pub prompt_tokens: u32,
     pub max_output_tokens: u32,
     /// Caller's estimate of the response length, often wrong.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -209,6 +209,9 @@
             .record_outcome(&from, true, now);
         // Closes the connection before the stream is resumed elsewhere.
         drop(broken);
+        if !self.is_proven {
+            self.dispatcher.record_lost_request(&self.plan, &from).await;
+        }
         self.splitter.discard_partial();
         // The first events of two replicas that crash do not prove the request.
         self.started_at = None;
