Require keys when the list of organisations is empty

Callers saw: once a configuration took the only organisation away with its key, requests with the removed key, with unknown keys and without a key ran.

Cause: the decoder read a missing and an empty list alike, and `OrganisationDirectory::is_required` asked whether there is an organisation.

Change: a list that is present requires keys, also if it is empty; with none left nobody has one. A null list still leaves the configuration unreadable.

--- a/crates/gateway/src/organisations.rs
+++ b/crates/gateway/src/organisations.rs
@@ -87,17 +87,20 @@
     pub key: KeyDigest,
 }
 
-/// Organisations of one version of the configuration by their keys.
+/// Organisations of one version of the configuration by their keys. The default is that of a
+/// configuration without organisations, in which callers need no key.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OrganisationDirectory {
     /// Sorted by digest, each digest once.
     keys: Vec<(KeyDigest, Arc<Organisation>)>,
     /// All organisations, maybe without keys.
     organisations: Vec<Arc<Organisation>>,
+    is_required: bool,
 }
 
 impl OrganisationDirectory {
-    /// Directory of organisations with their keys. A key that several hold identifies none of them.
+    /// Directory of organisations with their keys, which callers need from now on; if there are none,
+    /// nobody has one. A key that several hold identifies none of them.
     #[must_use]
     pub fn new(organisations: Vec<(Organisation, Vec<String>)>) -> Self {
         let mut all = Vec::new();
@@ -120,13 +123,14 @@
         Self {
             keys,
             organisations: all,
+            is_required: true,
         }
     }
 
     /// Whether callers of routes that are not public need a key.
     #[must_use]
     pub fn is_required(&self) -> bool {
-        !self.organisations.is_empty()
+        self.is_required
     }
 
     /// All organisations of the configuration.
