Keep entries closed when the last organisation is removed

Callers saw, on the own interface: after a patch that removes the last organisation, which is the only way to take the last key away, entries admitted everyone.

Evidence: without the change `only_organisations_with_keys_are_served` fails after the last removal (a request without a key was admitted, 422 for its reused idempotency key in place of 401), and `callers_need_keys_after_the_last_organisation_is_removed` had nothing to ask; with it both pass.

--- a/crates/entry/src/organisations.rs
+++ b/crates/entry/src/organisations.rs
@@ -22,7 +22,7 @@
 }
 
 impl CallerDirectory {
-    /// Organisation that holds a key; `None` if the configuration has no organisations, so that
+    /// Organisation that holds a key; `None` if the configuration has never had organisations, so that
     /// everyone may call.
     ///
     /// # Errors
@@ -32,7 +32,7 @@
         configuration: &configuration::Configuration,
         key: Option<&caller_key::CallerKey>,
     ) -> Result<Option<String>, CallerError> {
-        if configuration.organisations().is_empty() {
+        if !configuration.requires_keys() {
             return Ok(None);
         }
         let directory = self.directory(configuration);
--- a/crates/operators/src/configuration.rs
+++ b/crates/operators/src/configuration.rs
@@ -81,6 +81,8 @@
     operators: Vec<Arc<OperatorEntry>>,
     services: Vec<Arc<ServiceEntry>>,
     organisations: Vec<Arc<organisation::OrganisationEntry>>,
+    /// There was an organisation at some time.
+    requires_keys: bool,
     /// Interned names of base models and operators, sorted; not part of the state.
     #[serde(skip)]
     interned_names: Vec<Arc<str>>,
@@ -94,6 +96,8 @@
     services: Vec<ServiceEntry>,
     #[serde(default)]
     organisations: Vec<organisation::OrganisationEntry>,
+    #[serde(default)]
+    requires_keys: bool,
 }
 
 trait NamedEntry {
@@ -131,6 +135,7 @@
             && self.operators == other.operators
             && self.services == other.services
             && self.organisations == other.organisations
+            && self.requires_keys == other.requires_keys
     }
 }
 
@@ -140,6 +145,7 @@
     fn from(fields: ConfigurationFields) -> Self {
         let mut configuration = Self {
             version: fields.version,
+            requires_keys: fields.requires_keys,
             ..Self::default()
         };
         for adapter in fields.adapters {
@@ -183,12 +189,19 @@
         &self.services
     }
 
-    /// Organisations of callers, sorted by name; if there are none, callers need no key.
+    /// Organisations of callers, sorted by name.
     #[must_use]
     pub fn organisations(&self) -> &[Arc<organisation::OrganisationEntry>] {
         &self.organisations
     }
 
+    /// Whether callers need a key of an organisation: from the first organisation on, also when all were
+    /// removed since, so that taking the last key away admits nobody.
+    #[must_use]
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
+    }
+
     /// Adapter of this name.
     #[must_use]
     pub fn adapter(&self, name: &str) -> Option<&AdapterEntry> {
@@ -312,6 +325,7 @@
     }
 
     fn upsert_organisation(&mut self, entry: organisation::OrganisationEntry) {
+        self.requires_keys = true;
         let limit = organisation::MAX_ORGANISATIONS;
         upsert(&mut self.organisations, entry, limit);
     }
--- a/crates/operators/tests/organisations.rs
+++ b/crates/operators/tests/organisations.rs
@@ -50,6 +50,25 @@
     assert_eq!(state.organisations().len(), 1);
 }
 
+// Guards against a configuration in which everyone may call because its last organisation was removed.
+#[test]
+fn callers_need_keys_after_the_last_organisation_is_removed() {
+    let mut state = Configuration::default();
+    assert!(!state.requires_keys());
+    apply(&mut state, &set("north", &[KEY]));
+    apply(&mut state, "  - remove_organisation: {name: north}\n");
+    assert!(state.organisations().is_empty() && state.requires_keys());
+    let snapshot = snapshot::Snapshot {
+        as_of: 1,
+        configuration: Arc::new(state),
+        recent: Vec::new(),
+    };
+    let image = snapshot::encode_image(&snapshot);
+    let decoded = snapshot::decode_image(&image).unwrap();
+    assert_eq!(decoded, snapshot);
+    assert!(decoded.configuration.requires_keys());
+}
+
 // Guards against an older process' snapshot that cannot be read because it has no organisations.
 #[test]
 fn snapshot_without_organisations_is_read() {
@@ -62,6 +81,7 @@
     };
     let decoded = snapshot::decode_image(&image).unwrap();
     assert!(decoded.configuration.organisations().is_empty());
+    assert!(!decoded.configuration.requires_keys());
 }
 
 // Guards against keys that identify nobody or that can be guessed, and against errors that show one.
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -22,6 +22,7 @@
   - set_organisation: {name: south, keys: [quiet-harbour-0002]}
 ";
 const REVOCATION: &str = "changes: [{remove_organisation: {name: south}}]";
+const LAST_REVOCATION: &str = "changes: [{remove_organisation: {name: north}}]";
 
 /// Posts an order with an idempotency key and header lines.
 async fn order(entry: std::net::SocketAddr, headers: &str, body: &str) -> caller::TestResponse {
@@ -92,6 +93,15 @@
         assert_eq!(order(entry, &bearer(SOUTH_KEY), "late").await.status, 401);
         assert_eq!(order(entry, &bearer(NORTH_KEY), "north").await.status, 200);
 
+        let published = cluster.publish(3, LAST_REVOCATION).await;
+        assert_eq!(published.code, Some(0), "{published:?}");
+        cluster::wait_version(entry, 4).await;
+        for headers in ["", &bearer(NORTH_KEY), &bearer("any")] {
+            let response = order(entry, headers, "closed").await;
+            assert_eq!(response.status, 401, "{headers}: {response:?}");
+        }
+        assert_eq!(cluster.orders.call_count("closed"), 0);
+
         for path in ["/status", "/metrics"] {
             let shown = caller::send(entry, "GET", path, "", "").await.body;
             assert!(!shown.is_empty() && !shown.contains("harbour"), "{shown}");
