Reject statuses of endpoints that are no final status

It does not: the HTTP client refuses a head with a status below 100, and gateways answer 502. `answer_without_a_status_is_not_passed_on` shows it for 000 and seven other numbers, for plain responses and streams; it passed before any change.

The same cause did reach callers on the own interface: a plain service's 101, 600 or 999 was passed on as its response, and an engine's 101 counted as a refusal that proves that the request did not run.

Change: a service's status must be from 200 to 599, otherwise the outcome is unknown; only 300 to 499 and 503 prove that a call did not run. Evidence: `answer_without_a_final_status_is_an_error` fails in its cases 101, 600 and 999 without the change and passes with it.

--- a/crates/endpoints/src/client.rs
+++ b/crates/endpoints/src/client.rs
@@ -55,8 +55,9 @@
     pub fn is_not_run(&self) -> bool {
         match self {
             Self::Unreachable { .. } | Self::Fenced { .. } => true,
-            // Among the server errors, only 503 states that the call was not accepted.
-            Self::Refused { status, .. } => *status < 500 || *status == 503,
+            // Among the server errors, only 503 states that the call was not accepted. A status below
+            // 300 is no refusal.
+            Self::Refused { status, .. } => matches!(status, 300..500 | 503),
             Self::Interrupted { .. }
             | Self::Malformed { .. }
             | Self::Timeout { .. }
--- a/crates/endpoints/src/service.rs
+++ b/crates/endpoints/src/service.rs
@@ -1,11 +1,11 @@
 //! Interface and HTTP client of plain services.
 
-use std::{net, time};
+use std::{net, ops, time};
 
 use bytes::Bytes;
 use decisions::ids;
 use futures::{StreamExt, future, stream};
-use http::{Request, header};
+use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -19,6 +19,9 @@
 /// Maximum body size of one event, which bounds the size of a poll reply.
 const MAX_CHUNK_BYTES: usize = 64 << 10;
 
+/// Statuses of final responses.
+const FINAL_STATUSES: ops::Range<u16> = 200..600;
+
 /// Response of a service.
 pub type ServiceStream = stream::BoxStream<'static, Result<ServiceEvent, EndpointError>>;
 
@@ -109,6 +112,7 @@
                 EndpointError::Interrupted { endpoint, message }
             }
         })?;
+        check_status(&endpoint, response.status())?;
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let head = ServiceEvent::Head {
             status: response.status().as_u16(),
@@ -130,6 +134,17 @@
     }
 }
 
+/// Checks that a status is final and defined; the call may have been executed otherwise.
+fn check_status(endpoint: &str, status: StatusCode) -> Result<(), EndpointError> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(EndpointError::Malformed {
+        endpoint: endpoint.to_owned(),
+        message: format!("{status} is no final status"),
+    })
+}
+
 /// Streams a body in chunks; fails if a frame takes longer than `timeout`.
 fn stream_body(endpoint: String, timeout: time::Duration, body: Incoming) -> ServiceStream {
     let state = Some((endpoint, body));
