Examine only suspects of three crashes, and wrap comments

Cause: a gateway now evaluates crashes with each request that it loses, and each evaluation gathered the evidence on every suspect, although a verdict needs three crashes. Change: suspects of fewer crashes are left out first; the verdicts are the same. Result: the tests of decisions pass; the cost was not measured.

--- a/crates/decisions/src/prompt_quarantine.rs
+++ b/crates/decisions/src/prompt_quarantine.rs
@@ -11,11 +11,12 @@
 //! since. Parts that requests share with the cause are suspected as often, but start soundly at other
 //! engines: one such start, seen by any entry, clears a part of the crashes before it. Each crash is
 //! attributed to one part only. A whole request explains its crashes only as long as no part explains
-//! more of them, because requests with a crashing part are repeated as well. An entry that sees few requests waits until other starts, or the
-//! reports of other entries, show that a common part would have started by now.
+//! as many of them, because requests with a crashing part are repeated as well. An entry that sees few
+//! requests waits until other starts, or the reports of other entries, show that a common part would
+//! have started by now.
 //!
-//! A request that ends one replica is repeated at another one by its entry, and by its caller. Crashes that
-//! follow each other in this way within a moment have no common failure as their cause.
+//! A request that ends one replica is repeated at another one by its entry, and by its caller. Crashes
+//! that follow each other in this way within a moment have no common failure as their cause.
 //!
 //! Entries also tell each other, through the brokers, which parts they block on evidence of their own.
 //! An entry that has just started, or has not heard of all crashes, follows them.
@@ -407,10 +408,11 @@
             .filter(|suspect| !suspect.is_cleared && !suspects::is_generation(suspect.part));
         let mut parts: Vec<u64> = uncleared.map(|suspect| suspect.part).collect();
         parts.sort_unstable();
-        parts.dedup();
-        let evidence = parts
-            .into_iter()
-            .map(|part| crash_evidence::PartEvidence::new(part, crashes));
+        // Each crash has a part once.
+        let frequent = parts
+            .chunk_by(|part, next| part == next)
+            .filter(|occurrences| occurrences.len() >= MIN_CRASHES);
+        let evidence = frequent.map(|part| crash_evidence::PartEvidence::new(part[0], crashes));
         let sufficient = evidence.filter(|evidence| self.is_sufficient(evidence, now));
         sufficient.max_by_key(|evidence| {
             let last_start = self.starts.last_start(evidence.part);
--- a/crates/decisions/src/suspects.rs
+++ b/crates/decisions/src/suspects.rs
@@ -1,13 +1,13 @@
 //! Ids of what may crash a replica: a part of a prompt that requests share, or a whole request.
 //!
-//! Both kinds share one number space, so that crashes are attributed to either of them alike. The id of
-//! a generation, which stands for one request and its repeats, is in that space as well, but is no cause:
-//! it shows that replicas were lost one after the other.
+//! Both kinds share one number space, so that crashes are attributed to either of them alike. The id
+//! of a generation, which stands for one request and its repeats, is in that space as well, but is no
+//! cause: it shows that replicas were lost one after the other.
 
 use std::time;
 
-/// Time for which a request counts as one that has just started. An engine that its input crashes ends
-/// in this time, maybe with the first events sent.
+/// Time for which a request counts as one that has just started. An engine that its input crashes
+/// ends in this time, maybe with the first events sent.
 pub const START_PERIOD: time::Duration = time::Duration::from_millis(150);
 
 /// Set in the ids of whole requests.
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -3,7 +3,8 @@
 //! Only complete events are passed on, so that a stream that breaks in the middle of an event can
 //! be resumed at another replica. Comments and blank lines are kept until the event that follows
 //! them. A comment belongs to the event in which it stands, so a stream that ends after it, without
-//! the blank line that ends an event, is incomplete. A replica that sends nothing else, or an event without an end, exceeds the limit.
+//! the blank line that ends an event, is incomplete. A replica that sends nothing else, or an event
+//! without an end, exceeds the limit.
 
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
--- a/crates/operators/src/configuration.rs
+++ b/crates/operators/src/configuration.rs
@@ -195,8 +195,8 @@
         &self.organisations
     }
 
-    /// Whether callers need a key of an organisation: from the first organisation on, also when all were
-    /// removed since, so that taking the last key away admits nobody.
+    /// Whether callers need a key of an organisation: from the first organisation on, also when all
+    /// were removed since, so that taking the last key away admits nobody.
     #[must_use]
     pub fn requires_keys(&self) -> bool {
         self.requires_keys
