--- a/review/15/case.py
+++ b/review/15/case.py
@@ -13,7 +13,8 @@
 AWAY_S = 1.0
 COLD_S = 5.5
 DRAIN_S = standin.BOUNDS["drain_ms"] / 1000.0
-BURST = 12
+BURST = 36
+STEADY = 7
 
 
 def case(record, processes):
@@ -21,8 +22,8 @@
     routes = [standin.route("booking", "/booking/", "unsafe", "desk", 1, 4000)]
     store.write("keyed.op", "config", standin.configuration(3, routes, [standin.plain_service("desk")]))
     steady = [
-        standin.Replica(record, store, "desk", "127.0.0.21", "i-desk1", work_s=0.06),
-        standin.Replica(record, store, "desk", "127.0.0.22", "i-desk2", work_s=0.06),
+        standin.Replica(record, store, "desk", "127.0.0.%d" % (21 + number), "i-desk%d" % (1 + number), work_s=0.06)
+        for number in range(STEADY)
     ]
     for replica in steady:
         replica.start_heartbeats()
@@ -50,8 +51,9 @@
     copy = store.copy()
     # Two replicas are added. Their entries change with each heartbeat while they are cold.
     added = [
-        standin.Replica(record, store, "desk", "127.0.0.23", "i-desk3", work_s=0.06),
-        standin.Replica(record, store, "desk", "127.0.0.24", "i-desk4", work_s=0.06),
+        standin.Replica(record, store, "desk", "127.0.0.%d" % (21 + STEADY + number), "i-desk%d" % (1 + STEADY + number),
+                        work_s=0.06)
+        for number in range(2)
     ]
     for replica in added:
         replica.cold_until = time.monotonic() + COLD_S
