--- a/review/13/case.py
+++ b/review/13/case.py
@@ -17,6 +17,7 @@
 # Requests with the part come at each gateway in turn.
 DEADLY_GAP_S = 1.0
 ALLOWED = 3
+DEADLINE_MS = 5000
 
 
 def case(record, processes):
@@ -47,10 +48,17 @@
         last = next(numbers)
         parts = "5c1e07:100,%s:100,%x:100" % (DEADLY if is_deadly else "91bd%02x" % (last % 7), last)
         headers = [("Cowslipdeal-Model", "base"), ("Cowslipdeal-Token-Usage", "300,24"), ("Cowslipdeal-Prompt-Prefix", parts)]
-        answer = client.send(gateway, "POST", "/stream/2f", b"prompt %d" % last, deadline_ms=5000, headers=headers)
-        if answer["status"] != 200 or not answer["body"]:
-            other = gateways[1 - gateways.index(gateway)]
-            answer = client.send(other, "POST", "/stream/2f", b"prompt %d" % last, deadline_ms=4000, headers=headers)
+        started = time.monotonic()
+        answer = client.send(gateway, "POST", "/stream/2f", b"prompt %d" % last, deadline_ms=DEADLINE_MS, headers=headers)
+        if answer["status"] != 200 or not answer["body"].endswith(b"\n\n") or answer["is_broken"]:
+            # Retry-After is honoured up to a third of the time that is left; a longer one ends the request.
+            left_s = DEADLINE_MS / 1000.0 - (time.monotonic() - started)
+            wait_s = answer["retry_after"] or 0.0
+            if left_s > 0.1 and wait_s <= left_s / 3:
+                time.sleep(wait_s)
+                other = gateways[1 - gateways.index(gateway)]
+                answer = client.send(other, "POST", "/stream/2f", b"prompt %d" % last,
+                                     deadline_ms=int((left_s - wait_s) * 1000), headers=headers)
         (deadly if is_deadly else sound).append(answer)
 
     def traffic(gateway):
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -482,7 +482,8 @@
         sent_at = self.record.now()
         self.record("client sends %s %s %s to %s%s" % (attempt, method, path, gateway.name, " key %s" % key if key else ""))
         connection = http.client.HTTPConnection(gateway.ip, gateway.port, timeout=deadline_ms / 1000 + 2)
-        status, text, signature = None, b"", None
+        status, text, signature, retry_after = None, b"", None, None
+        is_broken = False
         try:
             connection.putrequest(method, path, skip_host=True, skip_accept_encoding=True)
             connection.putheader("Host", self.host)
@@ -497,13 +498,16 @@
             connection.endheaders(body or None)
             response = connection.getresponse()
             status, signature = response.status, response.getheader("Cowslipdeal-Response-Signature")
+            retry_after = response.getheader("Retry-After")
             text = response.read()
         except (OSError, http.client.HTTPException) as error:
-            self.record("client: %s has no answer: %r" % (attempt, error))
+            is_broken = True
+            self.record("client: %s has no whole answer: %r" % (attempt, error))
         finally:
             connection.close()
         self.record("client gets %s for %s: %s" % (status, attempt, text[:60]))
-        return {"attempt": attempt, "sent_at": sent_at, "status": status, "body": text, "signature": signature}
+        return {"attempt": attempt, "sent_at": sent_at, "status": status, "body": text, "signature": signature,
+                "retry_after": None if retry_after is None else float(retry_after), "is_broken": is_broken}
 
 
 def route(name, path, kind, service, attempts, timeout_ms=2000, **more):
