Read all records anew after the store has returned from a copy

Cause: a gateway reads on from the offset after the last record that it has read and took an offset to stand for one record for ever. After a return offsets are given out again, so the configuration without the key was written below that offset and never read, while each read counted as proof that the copy was up to date. Ruled out: that the configuration is read and refused as older; its version is the highest.

Change: processes number the histories of the store by its era (decisions::store_history). A position bears its history; reads in an ended one fail, answers of an earlier one are dropped, open reads end, and all records are read anew within 400 ms. It works because no offset is used in another history than its own, whichever topic or status shows the return first.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod service_choice;
 mod service_time;
 pub mod slot_broker;
+pub mod store_history;
 pub mod stragglers;
 pub mod suspects;
 pub mod units;
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -4,12 +4,15 @@
 
 use std::{sync::Arc, time};
 
-use decisions::{relisting, units};
+use decisions::{relisting, store_history, units};
 use telemetry::events;
 use tokio::time::Instant;
 
 use crate::{boot_clock, catalog, dispatch, heartbeats, replica_table, store};
 
+/// Topics in logs and counters.
+const PUBLISHED_TOPIC: &str = "published";
+const REPLICA_TOPIC: &str = "replicas";
 /// Interval between two reads of replicas, as a ratio of the time after which a draining replica
 /// must get no more requests. The rest allows for a slow response of the store; a shorter interval
 /// would cost more calls to the store.
@@ -32,6 +35,11 @@
 /// the same contradictions at the same time.
 const INTERVAL_SPREAD_MS: u64 = 200;
 
+/// Time from a replaced history to the read of all records, to which each gateway adds up to
+/// [`HISTORY_SPREAD_MS`]: all gateways notice at the same moment and share the store's rate of reads.
+const HISTORY_DELAY: time::Duration = time::Duration::from_millis(100);
+const HISTORY_SPREAD_MS: u64 = 300;
+
 /// Maximum number of replicas that one log record names.
 const MAX_LOGGED_IDS: usize = 200;
 
@@ -87,6 +95,25 @@
     }
 }
 
+/// Records that the positions of a topic do not hold any more, and waits until its records are to be
+/// read anew.
+async fn handle_replaced_history(
+    dispatcher: &dispatch::Dispatcher,
+    topic: &'static str,
+    change: Option<store_history::HistoryChange>,
+) {
+    let logger = dispatcher.request_logger.logger();
+    let cause = change.map_or("unknown", |change| change.cause.label());
+    slog::warn!(logger, "the store's history was replaced; all records are read anew";
+        "event" => events::STORE_HISTORY_REPLACED.number,
+        "name" => events::STORE_HISTORY_REPLACED.name, "topic" => topic, "cause" => cause,
+        "earlier_era" => change.and_then(|change| change.earlier_era),
+        "era" => change.and_then(|change| change.era));
+    dispatcher.metrics.record_replaced_history(topic);
+    let spread = time::Duration::from_millis(dispatcher.incarnation % HISTORY_SPREAD_MS);
+    tokio::time::sleep(HISTORY_DELAY + spread).await;
+}
+
 /// Follows the published configuration until the task is dropped.
 pub async fn follow_published(
     dispatcher: Arc<dispatch::Dispatcher>,
@@ -95,7 +122,7 @@
     let mut from = None;
     let bound = dispatcher.settings.revocation_ms;
     let max_backoff = bound.map_or(MAX_BACKOFF, |_| MAX_BOUNDED_BACKOFF);
-    let mut outage = StoreOutage::new("published", max_backoff);
+    let mut outage = StoreOutage::new(PUBLISHED_TOPIC, max_backoff);
     let mut is_readable = true;
     loop {
         let logger = dispatcher.request_logger.logger();
@@ -128,6 +155,10 @@
                 }
             }
             Err(store::StoreError::Deleted) => from = None,
+            Err(store::StoreError::HistoryReplaced { change }) => {
+                from = None;
+                handle_replaced_history(&dispatcher, PUBLISHED_TOPIC, change).await;
+            }
             Err(error) => {
                 dispatcher.copy_age.lock().record_failure();
                 outage.record_failure(started_at, &error, logger).await;
@@ -178,7 +209,7 @@
     store: Arc<dyn store::StateStore>,
 ) {
     let mut from = None;
-    let mut outage = StoreOutage::new("replicas", MAX_BACKOFF);
+    let mut outage = StoreOutage::new(REPLICA_TOPIC, MAX_BACKOFF);
     let leave_time = dispatcher.settings.leave_ms;
     let interval = leave_time
         .mul_f64(REPLICA_INTERVAL_RATIO)
@@ -212,6 +243,10 @@
                 wait_for_next_read(&dispatcher, interval, relisting.is_active(ended_at)).await;
             }
             Err(store::StoreError::Deleted) => from = None,
+            Err(store::StoreError::HistoryReplaced { change }) => {
+                from = None;
+                handle_replaced_history(&dispatcher, REPLICA_TOPIC, change).await;
+            }
             Err(error) => outage.record_failure(started_at, &error, logger).await,
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     retries: Counter<u64>,
     over_limit: Counter<u64>,
     blocked_parts: Counter<u64>,
+    replaced_histories: Counter<u64>,
     organisation_refusals: Counter<u64>,
     charged_requests: Counter<u64>,
     charged_units: Counter<u64>,
@@ -53,6 +54,9 @@
             remote_shares: meter.f64_gauge("gateway_remote_share").build(),
             pooled_shares: meter.f64_gauge("gateway_pooled_adapter_share").build(),
             blocked_parts: meter.u64_counter("gateway_prompt_parts_blocked").build(),
+            replaced_histories: meter
+                .u64_counter("gateway_store_histories_replaced")
+                .build(),
             organisation_refusals: meter.u64_counter("gateway_organisation_refusals").build(),
             charged_requests: meter.u64_counter("gateway_organisation_requests").build(),
             charged_units: meter.u64_counter("gateway_organisation_units").build(),
@@ -89,6 +93,12 @@
         self.blocked_parts.add(1, &[]);
     }
 
+    /// Counts a topic that is read anew because the store's history was replaced.
+    pub fn record_replaced_history(&self, topic: &'static str) {
+        self.replaced_histories
+            .add(1, &[KeyValue::new("topic", topic)]);
+    }
+
     /// Counts a caller that is refused for its key, its quota or the age of the configuration. Its
     /// organisation is not known without a valid key.
     pub fn record_access_refusal(&self, organisation: Option<&str>, reason: &'static str) {
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -88,7 +88,7 @@
         keep_until: Option<units::Timestamp>,
     ) -> Vec<ReplicaTableChange> {
         let mut changes = Vec::new();
-        let is_current = batch.next >= self.next_offset;
+        let is_current = batch.next.offset >= self.next_offset;
         let mut listed = Vec::new();
         for (offset, change) in batch.changes {
             match change {
@@ -108,7 +108,7 @@
         if batch.is_complete && is_current {
             changes.extend(self.remove_missing(&listed, keep_until));
         }
-        self.next_offset = self.next_offset.max(batch.next);
+        self.next_offset = self.next_offset.max(batch.next.offset);
         changes
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::{net, time};
 
+use decisions::store_history;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -60,13 +61,21 @@
     },
 }
 
+/// Place in a topic of the store. Offsets of different histories do not compare.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StorePosition {
+    /// Number of the store's history.
+    pub history: u64,
+    pub offset: u64,
+}
+
 /// Changes in the order of their offsets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChangeBatch<T> {
-    /// Offset and change.
+    /// Offset and change, in the history of `next`.
     pub changes: Vec<(u64, T)>,
-    /// Offset from which to read next.
-    pub next: u64,
+    /// Position from which to read next.
+    pub next: StorePosition,
     /// All keys are included; a missing one does not exist.
     pub is_complete: bool,
     /// All changes that were acknowledged before the read was sent are included, here or in earlier
@@ -100,21 +109,29 @@
     NoResponse { message: String },
     #[snafu(display("the requested records were deleted; reading from the newest ones"))]
     Deleted,
+    /// Positions from before do not hold any more, for any topic.
+    #[snafu(display(
+        "the store's history was replaced ({}); reading all records",
+        change.map_or_else(|| "no cause known".to_owned(), |change| change.to_string())
+    ))]
+    HistoryReplaced {
+        change: Option<store_history::HistoryChange>,
+    },
 }
 
 /// Client of the store.
 pub trait StateStore: Send + Sync {
-    /// Published configuration: all keys without `from`, otherwise the changes from that offset. If
+    /// Published configuration: all keys without `from`, otherwise the changes from that position. If
     /// there are none, the read waits for a change, but no longer than `wait`.
     fn published(
         &self,
-        from: Option<u64>,
+        from: Option<StorePosition>,
         wait: time::Duration,
     ) -> BoxFuture<'_, Result<ChangeBatch<PublishedChange>, StoreError>>;
 
-    /// Records of replicas: all keys without `from`, otherwise the changes from that offset.
+    /// Records of replicas: all keys without `from`, otherwise the changes from that position.
     fn replicas(
         &self,
-        from: Option<u64>,
+        from: Option<StorePosition>,
     ) -> BoxFuture<'_, Result<ChangeBatch<ReplicaChange>, StoreError>>;
 }
--- a/crates/gateway/tests/remote_traffic.rs
+++ b/crates/gateway/tests/remote_traffic.rs
@@ -11,7 +11,7 @@
     protocol::LoadSample,
     replica_selection::SelectionTerms,
     replica_table::ReplicaTable,
-    store::{ChangeBatch, ReplicaChange, ReplicaRecord},
+    store::{ChangeBatch, ReplicaChange, ReplicaRecord, StorePosition},
 };
 use test_case::test_case;
 
@@ -39,7 +39,10 @@
     table.apply_batch(
         ChangeBatch {
             changes,
-            next: 9,
+            next: StorePosition {
+                history: 0,
+                offset: 9,
+            },
             is_complete: false,
             reaches_end: true,
         },
--- a/crates/gateway/tests/replica_table.rs
+++ b/crates/gateway/tests/replica_table.rs
@@ -10,7 +10,7 @@
 use gateway::{
     replica_selection::SelectionTerms,
     replica_table::ReplicaTable,
-    store::{ChangeBatch, ReplicaChange, ReplicaRecord},
+    store::{ChangeBatch, ReplicaChange, ReplicaRecord, StorePosition},
 };
 use test_case::test_case;
 
@@ -32,13 +32,13 @@
     })
 }
 
-fn batch(next: u64, change: Option<ReplicaChange>) -> ChangeBatch<ReplicaChange> {
+fn batch(offset: u64, change: Option<ReplicaChange>) -> ChangeBatch<ReplicaChange> {
     ChangeBatch {
         changes: change
-            .map(|change| (next - 1, change))
+            .map(|change| (offset - 1, change))
             .into_iter()
             .collect(),
-        next,
+        next: StorePosition { history: 0, offset },
         is_complete: false,
         reaches_end: true,
     }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -83,6 +83,7 @@
     PEER_IMAGE_REFUSED = 509, "peer_image_refused";
     ADAPTER_VERSION_DECLARED = 510, "adapter_version_declared";
     SETTINGS_RELOADED = 511, "settings_reloaded";
+    STORE_HISTORY_REPLACED = 512, "store_history_replaced";
 }
 
 #[cfg(test)]
