Keep crashes apart that are older than the process that is told of them

Cause: a gateway's time began at 0 with its process. Times of crashes are worked out from the ages that brokers tell and were cut off at 0, so all crashes from before the start fell on one moment and counted once. A trace of the case shows six crashes that were three separate ones before the kill and one after it, and the part allowed when the verdicts of the killed gateways ended at the brokers. Ruled out by it: too few starts of other requests (40 seen, 32 are enough).

Times before the start so differ as the ages do, at brokers that have just started as well.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine_state;
 pub mod message;
 pub mod metrics;
+pub mod process_clock;
 pub mod quotas;
 pub mod server;
 pub mod service;
--- a/crates/broker/src/quotas.rs
+++ b/crates/broker/src/quotas.rs
@@ -6,9 +6,8 @@
 use opentelemetry::{KeyValue, metrics::Counter};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
 
-use crate::message;
+use crate::{message, process_clock};
 
 /// Part of a gateway's heartbeat where organisations have quotas.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -56,7 +55,7 @@
 /// Quotas of one broker.
 pub struct QuotaBook {
     ledger: Mutex<quota_ledger::QuotaLedger>,
-    started: Instant,
+    clock: process_clock::ProcessClock,
     decisions: Counter<u64>,
 }
 
@@ -66,14 +65,13 @@
     pub fn new(decisions: Counter<u64>) -> Self {
         Self {
             ledger: Mutex::default(),
-            started: Instant::now(),
+            clock: process_clock::ProcessClock::start(),
             decisions,
         }
     }
 
     fn now(&self) -> units::Timestamp {
-        let micros = self.started.elapsed().as_micros();
-        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 }
 
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -11,7 +11,7 @@
 use crate::{
     engine,
     engine_state::{self, MAX_MISSED_REPORTS},
-    message, metrics, quotas, service, settings,
+    message, metrics, process_clock, quotas, service, settings,
 };
 
 /// Interval of status reports while a load is pending.
@@ -29,7 +29,7 @@
     settings: settings::BrokerSettings,
     engine: Box<dyn engine::EngineControl>,
     state: Mutex<engine_state::EngineState>,
-    started: tokio::time::Instant,
+    clock: process_clock::ProcessClock,
     wake: Notify,
     /// Signals that a report has arrived, after which a command may be due.
     command_due: Notify,
@@ -59,7 +59,7 @@
             settings,
             engine,
             state: Mutex::new(state),
-            started: tokio::time::Instant::now(),
+            clock: process_clock::ProcessClock::start(),
             wake: Notify::new(),
             command_due: Notify::new(),
             report_lock: tokio::sync::Mutex::default(),
@@ -111,8 +111,7 @@
     }
 
     fn now(&self) -> units::Timestamp {
-        let micros = self.started.elapsed().as_micros();
-        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     async fn update_status(&self) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,10 +6,11 @@
 
 use std::{sync::Arc, time};
 
+use broker::process_clock;
 use decisions::{copy_age, lost_requests, prompt_quarantine, response_length, retry_budget, units};
 use http::response;
 use parking_lot::Mutex;
-use tokio::{sync::Notify, time::Instant};
+use tokio::sync::Notify;
 
 use crate::{
     boot_clock, buffers, catalog, connections, metrics, plan, protocol, quota, replica_table,
@@ -52,7 +53,7 @@
     catalog_outdated: Notify,
     /// Number of the newest permit.
     pub newest_permit: Mutex<u64>,
-    started: Instant,
+    clock: process_clock::ProcessClock,
 }
 
 impl Dispatcher {
@@ -74,13 +75,13 @@
         let entries = u32::try_from(settings.data_centres.len()).unwrap_or(u32::MAX);
         let entries = entries.max(1).saturating_mul(2);
         let memory = settings.buffer_limits();
-        let started = Instant::now();
+        let clock = process_clock::ProcessClock::start();
         let quotas = quota::QuotaClient::new(quota::QuotaOptions {
             instance: &settings.instance,
             incarnation,
             tolerance: settings.quota.tolerance(),
             assumed_gateways: entries,
-            started,
+            clock,
             logger: logger.clone(),
         });
         Self {
@@ -114,15 +115,14 @@
             replicas_outdated: Notify::new(),
             catalog_outdated: Notify::new(),
             newest_permit: Mutex::new(0),
-            started,
+            clock,
         }
     }
 
-    /// Time since the start of this process.
+    /// Present time by the clock of this process.
     #[must_use]
     pub fn now(&self) -> units::Timestamp {
-        let micros = self.started.elapsed().as_micros();
-        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Asks for a read of the replicas before the next regular one.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -5,11 +5,10 @@
 
 use std::{fmt, net, sync::Arc, time};
 
-use broker::{client, quotas};
+use broker::{client, process_clock, quotas};
 use decisions::{gateway_quotas, quota, quota_account, quota_ledger, quota_owner, units};
 use parking_lot::Mutex;
 use telemetry::events;
-use tokio::time::Instant;
 
 use crate::{access_refusal, organisations};
 
@@ -111,8 +110,8 @@
     pub tolerance: quota::QuotaTolerance,
     /// Number of gateways to assume in a deployment without brokers.
     pub assumed_gateways: u32,
-    /// Start of the clock that the brokers' clients use.
-    pub started: Instant,
+    /// Clock that the brokers' clients use.
+    pub clock: process_clock::ProcessClock,
     pub logger: slog::Logger,
 }
 
@@ -121,7 +120,7 @@
     /// Sorted by address.
     brokers: Mutex<Vec<Arc<client::BrokerClient>>>,
     tolerance: quota::QuotaTolerance,
-    started: Instant,
+    clock: process_clock::ProcessClock,
     logger: slog::Logger,
 }
 
@@ -144,7 +143,7 @@
             quotas: Mutex::new(quotas),
             brokers: Mutex::default(),
             tolerance: options.tolerance,
-            started: options.started,
+            clock: options.clock,
             logger: options.logger,
         };
         Self {
@@ -378,8 +377,7 @@
     }
 
     fn now(&self) -> units::Timestamp {
-        let micros = self.started.elapsed().as_micros();
-        units::Timestamp(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 }
 
