Keep the blocked parts of lost gateways at the brokers

A new gateway works their times out from ages that have travelled, so it may find two of them and admit a part that its predecessors kept from engines; and it needs starts of other requests first. The brokers forgot the verdicts of lost gateways after 2.5 s.

Change: a broker tells what lost gateways blocked last for a minute from their last call, when the part is due to be tried again. A gateway that was there before and calls 2.5 s longer knows better, so its word replaces theirs.

--- a/crates/decisions/src/active_entries.rs
+++ b/crates/decisions/src/active_entries.rs
@@ -1,4 +1,8 @@
-//! Entries that called a broker recently.
+//! Entries that called a broker recently, and the prompt parts that they keep from engines.
+//!
+//! An entry that starts anew knows nothing of the parts that it kept from engines before. What lost
+//! entries have told last therefore holds for a while, unless another entry has outlived them,
+//! which knows better by then.
 
 use std::time;
 
@@ -7,9 +11,16 @@
 /// Time without calls after which an entry is removed.
 const INACTIVITY_TIMEOUT: time::Duration = time::Duration::from_millis(2500);
 
+/// Time from the last call of a lost entry for which its blocked parts hold. By then they are due to be
+/// tried again.
+const LOST_PARTS_TIME: time::Duration = time::Duration::from_mins(1);
+/// Maximum number of lost entries that are kept; the oldest yields.
+const MAX_LOST_ENTRIES: usize = 64;
+
 #[derive(Debug)]
 struct EntryActivity {
     incarnation: u64,
+    first_call: units::Timestamp,
     last_call: units::Timestamp,
     /// Prompt parts that the entry keeps from engines.
     blocked_parts: Vec<u64>,
@@ -19,6 +30,20 @@
 #[derive(Debug, Default)]
 pub struct ActiveEntries {
     entries: Vec<EntryActivity>,
+    /// Removed entries that kept parts from engines, in the order of their removal.
+    lost: Vec<EntryActivity>,
+}
+
+impl EntryActivity {
+    fn is_active(&self, now: units::Timestamp) -> bool {
+        now.since(self.last_call) < INACTIVITY_TIMEOUT
+    }
+
+    /// Whether it was there before the last call of another entry and has called long after it.
+    fn outlives(&self, other: &Self) -> bool {
+        self.first_call <= other.last_call
+            && self.last_call.since(other.last_call) > INACTIVITY_TIMEOUT
+    }
 }
 
 impl ActiveEntries {
@@ -32,6 +57,7 @@
             Some(entry) => entry.last_call = now,
             None => self.entries.push(EntryActivity {
                 incarnation,
+                first_call: now,
                 last_call: now,
                 blocked_parts: Vec::new(),
             }),
@@ -46,13 +72,13 @@
         }
     }
 
-    /// Prompt parts that other entries with a recent call keep from engines, sorted.
+    /// Prompt parts that other entries keep from engines, or have kept until they were lost, sorted.
     #[must_use]
     pub fn parts_blocked_by_others(&self, incarnation: u64, now: units::Timestamp) -> Vec<u64> {
-        let others = self.entries.iter().filter(|entry| {
-            entry.incarnation != incarnation && now.since(entry.last_call) < INACTIVITY_TIMEOUT
-        });
+        let active = self.entries.iter().filter(|entry| entry.is_active(now));
+        let others = active.filter(|entry| entry.incarnation != incarnation);
         let mut parts: Vec<u64> = others
+            .chain(&self.lost)
             .flat_map(|entry| entry.blocked_parts.iter().copied())
             .collect();
         parts.sort_unstable();
@@ -62,8 +88,21 @@
 
     /// Removes entries without recent calls.
     pub fn expire(&mut self, now: units::Timestamp) {
-        self.entries
-            .retain(|entry| now.since(entry.last_call) < INACTIVITY_TIMEOUT);
+        let (active, inactive) = std::mem::take(&mut self.entries)
+            .into_iter()
+            .partition(|entry| entry.is_active(now));
+        self.entries = active;
+        let inactive: Vec<EntryActivity> = inactive;
+        let blocking = inactive.into_iter();
+        self.lost
+            .extend(blocking.filter(|entry| !entry.blocked_parts.is_empty()));
+        let entries = &self.entries;
+        self.lost.retain(|lost| {
+            let is_recent = now.since(lost.last_call) < LOST_PARTS_TIME;
+            is_recent && !entries.iter().any(|entry| entry.outlives(lost))
+        });
+        let excess = self.lost.len().saturating_sub(MAX_LOST_ENTRIES);
+        self.lost.drain(..excess);
     }
 
     /// Whether an entry has called and was not removed since.
@@ -77,10 +116,7 @@
     /// Number of entries with a recent call.
     #[must_use]
     pub fn active_count(&self, now: units::Timestamp) -> usize {
-        let active = self
-            .entries
-            .iter()
-            .filter(|entry| now.since(entry.last_call) < INACTIVITY_TIMEOUT);
+        let active = self.entries.iter().filter(|entry| entry.is_active(now));
         active.count()
     }
 }
