Apply records of replicas at lower offsets after the store's return

Cause: the table of replicas ignores records below the offset that it knows of a replica, and compared offsets of two histories of the store. Drainings and removals were read and ignored, and complete listings removed nothing.

Change: with another history the table forgets its offsets. What it knows holds nevertheless: drainings stay; records of replicas that have left, or of earlier starts, are held back for 10 s or until a newer one is written; replicas that the copy lacks get the grace period of an outage. It works because only the first listing of a history can hold records of the copy; all later ones are news.

Evidence: replica_that_leaves_after_a_return_receives_no_late_requests failed before in four of four cases, known_leaving_holds_until_it_is_written_again and gone_replica_missing_from_the_copy_is_dropped in one each; all pass.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod crash_log;
 pub mod crash_relay;
 pub mod data_centre_choice;
+pub mod departures;
 pub mod distance;
 pub mod endpoint_latency;
 pub mod endpoint_state;
--- a/crates/decisions/src/relisting.rs
+++ b/crates/decisions/src/relisting.rs
@@ -13,6 +13,8 @@
 //! - A record that is missing at the first read after an outage may have been removed at any time
 //!   during it. Its replica is kept at most until the entry has settled. The outage did not end before
 //!   the start of the last read that failed.
+//! - A store that has returned from an older copy lacks the records that were written since. The last
+//!   read before the return counts as the last one that failed.
 
 use std::time;
 
@@ -49,6 +51,8 @@
     /// Start of the newest successful read.
     last_read_at: units::Timestamp,
     ends_at: Option<units::Timestamp>,
+    /// The store has returned from an older copy since the newest successful read.
+    is_replaced: bool,
 }
 
 impl RelistingPeriod {
@@ -59,9 +63,15 @@
             limits,
             last_read_at: units::Timestamp::default(),
             ends_at: None,
+            is_replaced: false,
         }
     }
 
+    /// Records that the store has returned from an older copy.
+    pub fn record_replaced_history(&mut self) {
+        self.is_replaced = true;
+    }
+
     /// Records a read. `failed_since` is the start of the last failed read if this is the first
     /// successful one after an outage.
     ///
@@ -73,6 +83,8 @@
         failed_since: Option<units::Timestamp>,
     ) -> Option<units::Timestamp> {
         let earlier_read_at = std::mem::replace(&mut self.last_read_at, read.started_at);
+        let replaced_since = std::mem::take(&mut self.is_replaced).then_some(earlier_read_at);
+        let failed_since = failed_since.or(replaced_since);
         let limits = self.limits;
         let kept_time = limits.leave_time.mul_f64(KEPT_SHARE);
         let limit = match failed_since {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -232,8 +232,8 @@
                 let keep_until = relisting.record_read(read, outage.record_success(logger));
                 let changes = {
                     let mut table = dispatcher.replicas.lock();
-                    let mut changes = table.apply_batch(batch, keep_until);
-                    changes.extend(table.remove_expired(ended_at));
+                    let mut changes = table.apply_batch(batch, keep_until, ended_at);
+                    changes.extend(table.apply_due(ended_at));
                     changes
                 };
                 log_changes(&dispatcher, &changes);
@@ -245,6 +245,7 @@
             Err(store::StoreError::Deleted) => from = None,
             Err(store::StoreError::HistoryReplaced { change }) => {
                 from = None;
+                relisting.record_replaced_history();
                 handle_replaced_history(&dispatcher, REPLICA_TOPIC, change).await;
             }
             Err(error) => outage.record_failure(started_at, &error, logger).await,
@@ -294,10 +295,11 @@
 }
 
 /// Events of changes of replicas.
-const CHANGE_EVENTS: [events::LogEvent; 4] = [
+const CHANGE_EVENTS: [events::LogEvent; 5] = [
     events::REPLICA_LISTED,
     events::ENDPOINT_LEAVING,
     events::REPLICA_GONE,
+    events::REPLICA_HELD,
     events::RECORD_UNREADABLE,
 ];
 
@@ -306,6 +308,7 @@
         replica_table::ReplicaTableChange::Listed { .. } => events::REPLICA_LISTED,
         replica_table::ReplicaTableChange::Draining { .. } => events::ENDPOINT_LEAVING,
         replica_table::ReplicaTableChange::Removed { .. } => events::REPLICA_GONE,
+        replica_table::ReplicaTableChange::Held { .. } => events::REPLICA_HELD,
         replica_table::ReplicaTableChange::Unreadable { .. } => events::RECORD_UNREADABLE,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod execution;
 pub mod follower;
 pub mod heartbeats;
+mod held_records;
 pub mod local_reply;
 pub mod metrics;
 pub mod monitoring;
--- a/crates/gateway/tests/remote_traffic.rs
+++ b/crates/gateway/tests/remote_traffic.rs
@@ -47,6 +47,7 @@
             reaches_end: true,
         },
         None,
+        Timestamp::default(),
     );
     table
 }
--- a/crates/gateway/tests/replica_table.rs
+++ b/crates/gateway/tests/replica_table.rs
@@ -46,7 +46,7 @@
 
 fn listed_table() -> ReplicaTable {
     let mut table = ReplicaTable::new("north", 7380);
-    table.apply_batch(batch(1, Some(record())), None);
+    table.apply_batch(batch(1, Some(record())), None, RECOVERED_AT);
     table
 }
 
@@ -110,7 +110,7 @@
 fn replica_missing_after_an_outage_is_dropped_in_time(leave_ms: u64, failed_ms: u64) {
     let (_, keep_until) = recovered(leave_ms, failed_ms);
     let mut table = listed_table();
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     assert!(is_chosen(&table, RECOVERED_AT));
     let settled_at = RECOVERED_AT.saturating_sub(millis(failed_ms)) + SETTLING_TIME;
     let left_at = RECOVERED_AT + millis(leave_ms).mul_f64(0.9);
@@ -130,7 +130,7 @@
     let mut table = listed_table();
     let shown_at = RECOVERED_AT + millis(gap_ms);
     let keep_until = relisting.record_read(read_at(shown_at), None);
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     assert!(is_chosen(&table, shown_at));
     let last_send = RECOVERED_AT + millis(leave_ms).mul_f64(0.9);
     assert!(!is_chosen(&table, last_send));
@@ -143,7 +143,7 @@
 fn replica_missing_after_a_long_read_is_removed_at_once() {
     let (_, keep_until) = recovered(2_000, 5_000);
     let mut table = listed_table();
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     assert!(!is_chosen(&table, RECOVERED_AT));
 }
 
@@ -152,10 +152,10 @@
 fn grace_period_is_not_extended() {
     let (mut relisting, keep_until) = recovered(2_000, 800);
     let mut table = listed_table();
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     let second_recovery = RECOVERED_AT + millis(1_600);
     let keep_until = record_recovery(&mut relisting, second_recovery, 800);
-    table.apply_batch(batch(3, Some(removal())), keep_until);
+    table.apply_batch(batch(3, Some(removal())), keep_until, RECOVERED_AT);
     assert!(!is_chosen(&table, RECOVERED_AT + millis(2_000)));
 }
 
@@ -164,10 +164,10 @@
 fn relisted_replica_is_kept() {
     let (mut relisting, keep_until) = recovered(2_000, 800);
     let mut table = listed_table();
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     let relisted_at = RECOVERED_AT + millis(1_300);
     let keep_until = relisting.record_read(read_at(relisted_at), None);
-    table.apply_batch(batch(3, Some(record())), keep_until);
+    table.apply_batch(batch(3, Some(record())), keep_until, RECOVERED_AT);
     assert!(is_chosen(&table, RECOVERED_AT + millis(10_000)));
 }
 
@@ -179,6 +179,6 @@
     let shown_at = RECOVERED_AT + millis(2_600);
     let keep_until = relisting.record_read(read_at(shown_at), None);
     let mut table = listed_table();
-    table.apply_batch(batch(2, Some(removal())), keep_until);
+    table.apply_batch(batch(2, Some(removal())), keep_until, RECOVERED_AT);
     assert!(!is_chosen(&table, shown_at));
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -84,6 +84,7 @@
     ADAPTER_VERSION_DECLARED = 510, "adapter_version_declared";
     SETTINGS_RELOADED = 511, "settings_reloaded";
     STORE_HISTORY_REPLACED = 512, "store_history_replaced";
+    REPLICA_HELD = 513, "replica_held";
 }
 
 #[cfg(test)]
