Tell gateways that start of earlier crashes of plain replicas

When gateways start anew one after the other, as in a roll-out, the last one that knew the crashes takes them with it; the next ones lift the part and up to three more replicas end.

Change: the brokers that pass crashes on keep them for an hour, as long as a crash counts, at most 32, and tell them to a gateway in the first 2 s of its calls. Nothing is added to the messages of other gateways.

--- a/crates/broker/src/engine_state.rs
+++ b/crates/broker/src/engine_state.rs
@@ -147,13 +147,14 @@
             evidence: message::CrashEvidence {
                 crashes: self.crashes(now),
                 blocked_parts: self.broker.parts_blocked_by_others(entry, now),
-                observed_crashes: self.observed_crashes(now),
+                observed_crashes: self.observed_crashes(entry, now),
             },
         }
     }
 
-    fn observed_crashes(&self, now: units::Timestamp) -> Vec<message::ObservedCrash> {
-        let crashes = self.relay.recent(now);
+    fn observed_crashes(&self, entry: u64, now: units::Timestamp) -> Vec<message::ObservedCrash> {
+        let is_new = self.broker.is_new_entry(entry, now);
+        let crashes = self.relay.crashes_for(is_new, now);
         crashes
             .map(|crash| message::ObservedCrash::new(crash, now))
             .collect()
--- a/crates/decisions/src/active_entries.rs
+++ b/crates/decisions/src/active_entries.rs
@@ -11,6 +11,8 @@
 /// Time without calls after which an entry is removed.
 const INACTIVITY_TIMEOUT: time::Duration = time::Duration::from_millis(2500);
 
+/// Time from its first call for which an entry is new, enough for several calls.
+const NEW_ENTRY_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time from the last call of a lost entry for which its blocked parts hold. By then they are due to be
 /// tried again.
 const LOST_PARTS_TIME: time::Duration = time::Duration::from_mins(1);
@@ -113,6 +115,16 @@
             .any(|entry| entry.incarnation == incarnation)
     }
 
+    /// Whether an entry has called for a short time only, so that it knows nothing of before.
+    #[must_use]
+    pub fn is_new(&self, incarnation: u64, now: units::Timestamp) -> bool {
+        let found = self
+            .entries
+            .iter()
+            .find(|entry| entry.incarnation == incarnation);
+        found.is_none_or(|entry| now.since(entry.first_call) < NEW_ENTRY_TIME)
+    }
+
     /// Number of entries with a recent call.
     #[must_use]
     pub fn active_count(&self, now: units::Timestamp) -> usize {
--- a/crates/decisions/src/crash_relay.rs
+++ b/crates/decisions/src/crash_relay.rs
@@ -1,4 +1,7 @@
 //! Crashes of replicas without a broker, passed on between the entries that call one broker.
+//!
+//! Entries remember what they were told, so a crash is passed on for a short time only. One that has
+//! just started is told all crashes that still count.
 
 use std::{net, time};
 
@@ -6,6 +9,8 @@
 
 /// Age up to which a crash is passed on.
 pub const RELAY_TIME: time::Duration = time::Duration::from_secs(5);
+/// Age up to which an entry that has just started is told of a crash.
+const MEMORY: time::Duration = time::Duration::from_hours(1);
 /// Maximum number of crashes that are kept; the oldest yields.
 const MAX_CRASHES: usize = 32;
 
@@ -42,14 +47,19 @@
             }
         }
         self.crashes
-            .retain(|known| now.since(known.crash.at) < RELAY_TIME);
+            .retain(|known| now.since(known.crash.at) < MEMORY);
         let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
         self.crashes.drain(..excess);
     }
 
-    /// Crashes that are still passed on.
-    pub fn recent(&self, now: units::Timestamp) -> impl Iterator<Item = &ReplicaCrash> {
+    /// Crashes to tell an entry of, which may have just started.
+    pub fn crashes_for(
+        &self,
+        is_new_entry: bool,
+        now: units::Timestamp,
+    ) -> impl Iterator<Item = &ReplicaCrash> {
+        let max_age = if is_new_entry { MEMORY } else { RELAY_TIME };
         let crashes = self.crashes.iter();
-        crashes.filter(move |known| now.since(known.crash.at) < RELAY_TIME)
+        crashes.filter(move |known| now.since(known.crash.at) < max_age)
     }
 }
--- a/crates/decisions/src/slot_broker.rs
+++ b/crates/decisions/src/slot_broker.rs
@@ -103,6 +103,12 @@
         self.entries.record_call(entry, now);
     }
 
+    /// Whether an entry has just started, so that it knows nothing of before.
+    #[must_use]
+    pub fn is_new_entry(&self, entry: u64, now: units::Timestamp) -> bool {
+        self.entries.is_new(entry, now)
+    }
+
     /// Records the prompt parts that an entry keeps from engines.
     pub fn record_blocked_parts(&mut self, entry: u64, parts: Vec<u64>) {
         self.entries.record_blocked_parts(entry, parts);
--- a/crates/decisions/tests/lost_requests.rs
+++ b/crates/decisions/tests/lost_requests.rs
@@ -85,7 +85,7 @@
     let mut second = crash(&[12, 13], 5);
     second.crash.clear(&[12]);
     relay.record([second], at(5));
-    let known: Vec<_> = relay.recent(at(10)).collect();
+    let known: Vec<_> = relay.crashes_for(false, at(10)).collect();
     assert_eq!(known.len(), 1);
     assert_eq!(suspects(&known[0].crash), [11, 12, 13]);
     assert!(!known[0].crash.suspects_part(12) && known[0].crash.suspects_part(13));
@@ -97,8 +97,13 @@
     let mut relay = CrashRelay::default();
     relay.record([crash(&[11], 0)], at(0));
     let end = at(0) + RELAY_TIME;
-    assert_eq!(relay.recent(end.saturating_sub(MILLISECOND)).count(), 1);
-    assert_eq!(relay.recent(end).count(), 0);
+    assert_eq!(
+        relay
+            .crashes_for(false, end.saturating_sub(MILLISECOND))
+            .count(),
+        1
+    );
+    assert_eq!(relay.crashes_for(false, end).count(), 0);
     relay.record([crash(&[11], 0)], end);
-    assert_eq!(relay.recent(end).count(), 0);
+    assert_eq!(relay.crashes_for(false, end).count(), 0);
 }
