Let the store return from older copies in the soak of signals

Cause: no soak played a return of the store, beside which signals, restarts and changes happen.

Change: one of twelve changes copies the store, one returns it from the newest copy; what was lost is written again at one of the next steps. At the end a route is taken away, and each gateway must answer 404, so that one that stays behind is found.

--- a/tests/signal_soak.rs
+++ b/tests/signal_soak.rs
@@ -1,4 +1,5 @@
-//! Signals, restarts and changes in overlapping series, while callers keep their connections open.
+//! Signals, restarts, changes and returns of the store from older copies in overlapping series, while
+//! callers keep their connections open.
 //!
 //! Nothing is killed or suspended, so that every request which a gateway has read must be answered,
 //! and one whose connection closes without an answer must not have run. `SOAK_SEEDS=FIRST-LAST` plays
@@ -33,6 +34,8 @@
 const PROCESS_COUNT: usize = 8;
 const STEP_COUNT: u32 = 60;
 const STEP_TIME: time::Duration = time::Duration::from_millis(200);
+/// Time within which a configuration must be in force.
+const APPLY_TIME: time::Duration = time::Duration::from_secs(2);
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// One in this many requests must be served; at times all replicas of a service refuse.
 const MIN_SERVED_RATIO: usize = 4;
@@ -94,10 +97,10 @@
     results
 }
 
-/// Sends a signal, changes the configuration or sets a fault.
+/// Sends a signal, changes the configuration, returns the store from a copy or sets a fault.
 fn make_change(system: &mut PlatformCluster, generator: &mut ChaCha8Rng) {
     let number = generator.random_range(0..system.roles.len());
-    let signal = match generator.random_range(0..10) {
+    let signal = match generator.random_range(0..12) {
         0..3 => Signal::TERM,
         3 => Signal::INT,
         4..6 => Signal::HUP,
@@ -108,6 +111,8 @@
         }
         7 => return system.platform.compact_replicas(),
         8 => return system.restart(),
+        9 => return system.copy_store(),
+        10 => return system.return_store(),
         _ => {
             let fault = *FAULTS.choose(generator).unwrap();
             let replicas = &system.platform.plain_replicas;
@@ -161,6 +166,9 @@
         }
     }
     for step in 0..STEP_COUNT {
+        if system.is_rewriting && generator.random() {
+            system.rewrite();
+        }
         for _ in 0..generator.random_range(0..4) {
             make_change(&mut system, &mut generator);
         }
@@ -182,6 +190,19 @@
     println!("seed {seed}: {served} of {sent} requests served");
     assert!(MIN_SERVED_RATIO * served >= sent, "seed {seed}");
     wait_until_ready(&mut system).await;
+    check_newest_configuration(&mut system, seed).await;
+}
+
+/// Takes a route away and checks that all gateways know it, whatever copies they have read.
+async fn check_newest_configuration(system: &mut PlatformCluster, seed: u64) {
+    system.version += 1;
+    system.platform.publish_configuration(system.version, false);
+    tokio::time::sleep(APPLY_TIME).await;
+    for (number, gateway) in system.gateways.iter().enumerate() {
+        let request = TestRequest::plain("dropped-route", deployment::SAFE_PATH);
+        let status = request.send(*gateway).await.status;
+        assert_eq!(status, 404, "seed {seed}, gateway {number}");
+    }
 }
 
 /// Restarts processes until all gateways are ready.
--- a/tests/support/platform_cluster.rs
+++ b/tests/support/platform_cluster.rs
@@ -6,6 +6,7 @@
     caller::{self, TestRequest, TestResponse},
     deployment::{self, StandInDeployment},
     replica::ReplicaFault,
+    store::StoreCopy,
 };
 use rustix::process::Signal;
 
@@ -29,6 +30,9 @@
     ready: Vec<net::SocketAddr>,
     /// Version of the newest configuration.
     pub version: u64,
+    copy: StoreCopy,
+    /// The store has returned from its copy, and what was lost is not written again yet.
+    pub is_rewriting: bool,
 }
 
 impl PlatformCluster {
@@ -62,6 +66,7 @@
             });
             roles.push(RoleProcess::new("gateway", number, settings));
         }
+        let copy = platform.store.copy();
         let mut system = Self {
             directory: tempfile::tempdir().unwrap(),
             platform,
@@ -69,6 +74,8 @@
             gateways,
             ready,
             version: 1,
+            copy,
+            is_rewriting: false,
         };
         system.restart();
         system.wait_ready().await;
@@ -96,6 +103,24 @@
         }
     }
 
+    /// Copies the store.
+    pub fn copy_store(&mut self) {
+        self.copy = self.platform.store.copy();
+    }
+
+    /// Returns the store from its newest copy.
+    pub fn return_store(&mut self) {
+        self.platform.store.return_from(&self.copy, &[]);
+        self.is_rewriting = true;
+    }
+
+    /// Writes again what a return of the store has lost.
+    pub fn rewrite(&mut self) {
+        self.platform.publish_configuration(self.version, true);
+        self.platform.list_replicas(0);
+        self.is_rewriting = false;
+    }
+
     /// Whether all gateways are ready.
     pub async fn are_ready(&self) -> bool {
         for address in &self.ready {
@@ -112,9 +137,13 @@
             until("the gateway is ready", || caller::is_ready(*address)).await;
         }
     }
+
     /// Ends all faults.
     pub fn end_faults(&mut self) {
         self.platform.store.set_down(false);
+        if self.is_rewriting {
+            self.rewrite();
+        }
         for replica in self
             .platform
             .engines
