--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod replica_ranking;
 pub mod replica_selection;
 pub mod replica_table;
+mod replica_updates;
 pub mod request_charge;
 pub mod request_logger;
 pub mod responses;
