--- a/crates/broker/src/process_clock.rs
+++ b/crates/broker/src/process_clock.rs
@@ -3,8 +3,8 @@
 use decisions::units;
 use tokio::time::Instant;
 
-/// Time of a process's start. Messages tell ages of events that may be older than the process that
-/// reads them; their times must stay apart. It is far longer ago than anything that is remembered.
+/// Time at the start of a process: a day, longer than any event is remembered. Messages tell the ages
+/// of events, which may be older than the process that reads them, and their times must stay apart.
 const START: units::Timestamp = units::Timestamp(24 * 60 * 60 * 1_000_000);
 
 /// Clock that starts with the process and reads the Tokio clock.
--- a/crates/gateway/src/held_records.rs
+++ b/crates/gateway/src/held_records.rs
@@ -10,8 +10,7 @@
 
 use crate::store;
 
-/// Time for which a record is held back. Replicas write about every second, and at once after the store
-/// is back.
+/// Time for which a record is held back. Live replicas write again within seconds of the store's return.
 const HOLD_TIME: time::Duration = time::Duration::from_secs(10);
 
 struct HeldRecord {
