--- a/tests/signal_soak.rs
+++ b/tests/signal_soak.rs
@@ -190,13 +190,24 @@
     println!("seed {seed}: {served} of {sent} requests served");
     assert!(MIN_SERVED_RATIO * served >= sent, "seed {seed}");
     wait_until_ready(&mut system).await;
-    check_newest_configuration(&mut system, seed).await;
+    check_last_return(&mut system, generator.random_range(1..5), seed).await;
 }
 
-/// Takes a route away and checks that all gateways know it, whatever copies they have read.
-async fn check_newest_configuration(system: &mut PlatformCluster, seed: u64) {
+/// Returns the store once more, takes a route away below the offset that the gateways have read, and
+/// checks that all of them know it, whatever they have met before.
+async fn check_last_return(system: &mut PlatformCluster, lost_records: u32, seed: u64) {
+    system.copy_store();
+    let declare = |system: &PlatformCluster| {
+        for version in 1..=lost_records {
+            system.platform.declare_version("a1", version);
+        }
+    };
+    declare(system);
+    tokio::time::sleep(APPLY_TIME).await;
+    system.return_store();
     system.version += 1;
     system.platform.publish_configuration(system.version, false);
+    declare(system);
     tokio::time::sleep(APPLY_TIME).await;
     for (number, gateway) in system.gateways.iter().enumerate() {
         let request = TestRequest::plain("dropped-route", deployment::SAFE_PATH);
