--- a/crates/agent/tests/fault_handling.rs
+++ b/crates/agent/tests/fault_handling.rs
@@ -9,8 +9,8 @@
     service::AgentHandler,
 };
 use support::{
-    SECOND, StartFault, TestAgent, is_complete_response, outcome, read_responses, refusal_reason,
-    request,
+    SECOND, TestAgent, engine::StartFault, is_complete_response, outcome, read_responses,
+    refusal_reason, request,
 };
 use test_case::test_case;
 
