Log that the store deleted records before a gateway read them

A return is told by event 512 since, but a gateway that finds its records deleted read all of them without a line.

Change: event 514, store_records_deleted, with the topic.

Evidence: returns_and_deleted_records_differ_in_the_log; its case for deleted records timed out without the line (nothing told), and both cases pass with it.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -114,6 +114,12 @@
     tokio::time::sleep(HISTORY_DELAY + spread).await;
 }
 
+fn log_deleted_records(logger: &slog::Logger, topic: &'static str) {
+    slog::info!(logger, "records were deleted before they were read; all records are read anew";
+        "event" => events::STORE_RECORDS_DELETED.number,
+        "name" => events::STORE_RECORDS_DELETED.name, "topic" => topic);
+}
+
 /// Follows the published configuration until the task is dropped.
 pub async fn follow_published(
     dispatcher: Arc<dispatch::Dispatcher>,
@@ -154,7 +160,10 @@
                     tokio::time::sleep(PUBLISHED_INTERVAL).await;
                 }
             }
-            Err(store::StoreError::Deleted) => from = None,
+            Err(store::StoreError::Deleted) => {
+                from = None;
+                log_deleted_records(logger, PUBLISHED_TOPIC);
+            }
             Err(store::StoreError::HistoryReplaced { change }) => {
                 from = None;
                 handle_replaced_history(&dispatcher, PUBLISHED_TOPIC, change).await;
@@ -242,7 +251,10 @@
                 }
                 wait_for_next_read(&dispatcher, interval, relisting.is_active(ended_at)).await;
             }
-            Err(store::StoreError::Deleted) => from = None,
+            Err(store::StoreError::Deleted) => {
+                from = None;
+                log_deleted_records(logger, REPLICA_TOPIC);
+            }
             Err(store::StoreError::HistoryReplaced { change }) => {
                 from = None;
                 relisting.record_replaced_history();
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -85,6 +85,7 @@
     SETTINGS_RELOADED = 511, "settings_reloaded";
     STORE_HISTORY_REPLACED = 512, "store_history_replaced";
     REPLICA_HELD = 513, "replica_held";
+    STORE_RECORDS_DELETED = 514, "store_records_deleted";
 }
 
 #[cfg(test)]
