Log the software version of each replica that gets a request

Logs did not tell which version of its software a replica runs, so nobody could see from them whether a stream was joined from two versions. The records of replicas state it, and the gateway ignored it.

No decision depends on it yet.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod service_choice;
 mod service_time;
 pub mod slot_broker;
+pub mod software_version;
 pub mod store_history;
 pub mod stragglers;
 pub mod suspects;
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -6,7 +6,7 @@
 use broker::{client, message};
 use decisions::{
     adapter_pooling, engine_speed, failure_rate, relative_speed, replica_choice, replica_load,
-    units,
+    software_version, units,
 };
 use xxhash_rust::xxh3;
 
@@ -51,6 +51,7 @@
     pub id: String,
     pub incarnation: u64,
     pub address: net::SocketAddr,
+    pub software: software_version::SoftwareVersion,
     pub broker: Arc<client::BrokerClient>,
     /// Base models that the replica has loaded.
     pub models: Vec<String>,
@@ -222,6 +223,7 @@
             id: self.record.id.clone(),
             incarnation: self.record.incarnation,
             address: self.record.address,
+            software: self.record.software.clone(),
             broker: Arc::clone(&self.broker),
             models: self.loaded_models(),
             is_loaded: false,
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -44,7 +44,7 @@
             "event" => events::REQUEST_SENT.number, "name" => events::REQUEST_SENT.name,
             "request" => &plan.request.id, "route" => &plan.route.name,
             "configuration" => plan.configuration, "replica" => &replica.id,
-            "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
+            "software" => replica.software.to_string(), "attempt" => attempt, "adapter" => plan.adapter().map(|(_, adapter)| adapter),
             "adapter_version" => version, "suspects" => plan.suspects_text(),
             "is_long" => plan.is_long,
             "expected_ms" => millis(replica.expected_wait),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use decisions::store_history;
+use decisions::{software_version, store_history};
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
@@ -17,6 +17,7 @@
     pub service: String,
     pub address: net::SocketAddr,
     pub data_centre: String,
+    pub software: software_version::SoftwareVersion,
     pub slots: u32,
     pub is_draining: bool,
     pub models: Vec<LoadedModel>,
--- a/crates/gateway/tests/remote_traffic.rs
+++ b/crates/gateway/tests/remote_traffic.rs
@@ -5,6 +5,7 @@
 use decisions::{
     data_centre_choice::RemotePolicy::{self, Adaptive, Even, Off},
     distance::TransferSize,
+    software_version::SoftwareVersion,
     units::Timestamp,
 };
 use gateway::{
@@ -28,6 +29,7 @@
             service: SERVICE.to_owned(),
             address: format!("10.{number}.0.4:8200").parse().unwrap(),
             data_centre: (*name).to_owned(),
+            software: SoftwareVersion::default(),
             slots: 6,
             is_draining: false,
             models: Vec::new(),
--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -1,7 +1,7 @@
 //! Updates of a replica's record and of its broker's view.
 
 use broker::message::{EngineAdapters, EngineView};
-use decisions::units::Timestamp;
+use decisions::{software_version::SoftwareVersion, units::Timestamp};
 use gateway::{replica::Replica, replica_table::ReplicaTableChange, store::ReplicaRecord};
 
 const BROKER_PORT: u16 = 7380;
@@ -13,6 +13,7 @@
         service: "writer".to_owned(),
         address: address.parse().unwrap(),
         data_centre: "north".to_owned(),
+        software: SoftwareVersion::default(),
         slots: 8,
         is_draining: false,
         models: Vec::new(),
--- a/crates/gateway/tests/replica_returns.rs
+++ b/crates/gateway/tests/replica_returns.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use decisions::units::Timestamp;
+use decisions::{software_version::SoftwareVersion, units::Timestamp};
 use gateway::{
     replica_table::ReplicaTable,
     store::{ChangeBatch, ReplicaChange, ReplicaRecord, StorePosition},
@@ -50,6 +50,7 @@
             service: "desk".to_owned(),
             address: "10.1.0.4:8200".parse().unwrap(),
             data_centre: "north".to_owned(),
+            software: SoftwareVersion::default(),
             slots: 8,
             is_draining: matches!(self, Self::Draining { .. }),
             models: Vec::new(),
--- a/crates/gateway/tests/replica_table.rs
+++ b/crates/gateway/tests/replica_table.rs
@@ -5,6 +5,7 @@
 use decisions::{
     distance::TransferSize,
     relisting::{RelistingLimits, RelistingPeriod, ReplicaRead},
+    software_version::SoftwareVersion,
     units::Timestamp,
 };
 use gateway::{
@@ -26,6 +27,7 @@
         service: SERVICE.to_owned(),
         address: "10.1.0.4:8200".parse().unwrap(),
         data_centre: "north".to_owned(),
+        software: SoftwareVersion::default(),
         slots: 8,
         is_draining: false,
         models: Vec::new(),
