Resume a broken stream only at the software version that began it

Callers got one response whose first events came from one version of an engine's software and the rest from another.

Cause: when a stream breaks within its response, the gateway resumed it at any replica of the service. The choice of a replica did not know software versions.

The relay now binds a stream to the version that wrote its first event, and the choice of a replica leaves all other versions out. If no replica of the version is left, the stream ends as broken (`software_gone`). A stream without an event is bound to nothing. The filter stands where candidates are collected, so that it holds for engines and plain services alike.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -59,7 +59,7 @@
             .replicas
             .lock()
             .shortest_pause(&plan.service, self.now());
-        let no_replica = local_reply::LocalReply::no_replica(pause);
+        let no_replica = missing_replica(plan, pause);
         let mut refusal = no_replica;
         let (mut asked_count, mut replaced_count) = (0, 0);
         while asked_count < MAX_PERMIT_REQUESTS && replaced_count < MAX_REPLACED_ENGINES {
@@ -100,7 +100,7 @@
         chosen.map_err(|refusal| match refusal {
             replica_selection::ServiceRefusal::NoReplica => {
                 let pause = replicas.shortest_pause(&plan.service, now);
-                local_reply::LocalReply::no_replica(pause)
+                missing_replica(plan, pause)
             }
             replica_selection::ServiceRefusal::Full { retry_after } => {
                 local_reply::LocalReply::replicas_full(retry_after)
@@ -224,3 +224,14 @@
         *newest
     }
 }
+
+/// Local reply to a request for which there is no replica.
+fn missing_replica(
+    plan: &plan::RequestPlan,
+    pause: Option<time::Duration>,
+) -> local_reply::LocalReply {
+    if plan.software.is_some() && pause.is_none() {
+        return local_reply::LocalReply::SOFTWARE_GONE;
+    }
+    local_reply::LocalReply::no_replica(pause)
+}
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time};
 
 use bytes::Bytes;
-use decisions::{crash_log, relative_speed, suspects, units};
+use decisions::{crash_log, relative_speed, software_version, suspects, units};
 use http::request;
 use tokio::time::Instant;
 use xxhash_rust::xxh3;
@@ -30,6 +30,8 @@
     pub received_at: Instant,
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
+    /// Software version that a stream must go on at; `None` while it has had no event.
+    pub software: Option<software_version::SoftwareVersion>,
     /// Declared version of the adapter at the newest attempt; 0 if none is declared.
     pub adapter_version: u32,
     /// The response may become longer than most.
@@ -81,6 +83,7 @@
             head,
             body,
             received_at,
+            software: None,
             adapter_version: 0,
             is_long: false,
             configuration: matched.configuration,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -158,6 +158,7 @@
             self.prove_prompt();
         }
         let Some(earlier) = self.last_event_at.replace(now) else {
+            self.bind_to_software();
             self.timing.first_event = now.saturating_duration_since(self.plan.received_at);
             self.dispatcher
                 .metrics
@@ -168,6 +169,14 @@
         self.timing.longest_gap = self.timing.longest_gap.max(gap);
     }
 
+    /// Binds the stream to the software version that wrote its first event.
+    fn bind_to_software(&mut self) {
+        if let Some(attempt) = &self.attempt {
+            let software = &attempt.replica.software;
+            self.plan.software.get_or_insert_with(|| software.clone());
+        }
+    }
+
     /// Records once that the request does not crash its replica.
     fn prove_prompt(&mut self) {
         if !self.is_proven {
--- a/crates/gateway/src/replica_selection.rs
+++ b/crates/gateway/src/replica_selection.rs
@@ -6,7 +6,7 @@
 
 use decisions::{
     adapter_pooling, data_centre_choice, distance, relative_speed, replica_choice, service_choice,
-    units,
+    software_version, units,
 };
 use xxhash_rust::xxh3;
 
@@ -30,6 +30,8 @@
     /// Time until the caller leaves.
     pub deadline_left: time::Duration,
     pub size: distance::TransferSize,
+    /// Software version that the request must run at.
+    pub software: Option<&'a software_version::SoftwareVersion>,
     /// Adapter of the request, with the data centre of the replica that ranks first for it.
     pub adapter: Option<AdapterOwner<'a>>,
 }
@@ -61,6 +63,7 @@
                 request_bytes: u64::try_from(plan.body.len()).unwrap_or(u64::MAX),
                 response_tokens,
             },
+            software: plan.software.as_ref(),
             adapter: None,
         }
     }
@@ -103,7 +106,7 @@
         excluded: &[String],
         now: units::Timestamp,
     ) -> Option<replica::ChosenReplica> {
-        let candidates = self.candidates(&plan.service, excluded, now);
+        let candidates = self.suitable(&plan.service, plan.software.as_ref(), excluded, now);
         let ranks = self.rendezvous_ranks(&candidates, plan);
         let speeds = self.fleet_speeds(&plan.service, now);
         let affinities = self.length_affinities(&candidates, plan, &speeds, now);
@@ -145,7 +148,7 @@
         excluded: &[String],
         now: units::Timestamp,
     ) -> Result<replica::ChosenReplica, ServiceRefusal> {
-        let candidates = self.candidates(terms.service, excluded, now);
+        let candidates = self.suitable(terms.service, terms.software, excluded, now);
         let options = self.service_options(&candidates, terms.objective, now);
         // The upper half of the hash decides on the data centre.
         let seed = terms.request_hash.rotate_left(32);
@@ -337,9 +340,21 @@
         service: &str,
         excluded: &[String],
         now: units::Timestamp,
+    ) -> Vec<&replica::Replica> {
+        self.suitable(service, None, excluded, now)
+    }
+
+    /// Replicas of a service, and of a software version if one is needed, that can be sent requests.
+    fn suitable(
+        &self,
+        service: &str,
+        software: Option<&software_version::SoftwareVersion>,
+        excluded: &[String],
+        now: units::Timestamp,
     ) -> Vec<&replica::Replica> {
         let usable = |replica: &&replica::Replica| {
             replica.record.service == service
+                && software.is_none_or(|needed| replica.record.software == *needed)
                 && self.is_usable(replica, now)
                 && !excluded.contains(&replica.record.id)
                 && !self.is_superseded(replica)
--- a/crates/gateway/tests/remote_traffic.rs
+++ b/crates/gateway/tests/remote_traffic.rs
@@ -73,6 +73,7 @@
         objective_left: Duration::from_millis(300),
         deadline_left: Duration::from_secs(1),
         size: TransferSize::default(),
+        software: None,
         adapter: None,
     };
     let excluded: Vec<String> = excluded.iter().map(|id| (*id).to_owned()).collect();
@@ -123,6 +124,7 @@
         objective_left: Duration::from_millis(300),
         deadline_left: Duration::from_secs(1),
         size: TransferSize::default(),
+        software: None,
         adapter: None,
     };
     let chosen = table.choose_service(&terms, &[], later).unwrap();
--- a/crates/gateway/tests/replica_table.rs
+++ b/crates/gateway/tests/replica_table.rs
@@ -60,6 +60,7 @@
         objective_left: millis(300),
         deadline_left: millis(1_000),
         size: TransferSize::default(),
+        software: None,
         adapter: None,
     }
 }
