Take streams up only at the software version that began them

Callers whose streams had broken off took them up, and many got 200 with the rest of the text from another software version than the first part. It happened at gateways that lived and, worst, after all gateways were killed at once during a release or right after the old version had left.

Cause: a gateway did not read which attempt a take-up names, and knew nothing of streams that it had not begun itself; the request went to any replica.

At the first event a gateway tells two brokers which version wrote it; they outlive the gateways. When these brokers leave or come back, it tells those that come first then. A gateway that gets a take-up asks its own record and five brokers, and sends the request to replicas of that version only. If nobody knows, the stream goes on only if the service has had one version for as long as the stream can have lasted; else it is refused as not run (`stream_origin_unknown`), as it is when the version has no replica left (`software_gone`). A take-up stays with the service that the split of its route chose at first.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -5,13 +5,13 @@
 
 use std::{net, time};
 
-use decisions::{quota_account, quota_ledger, units};
+use decisions::{quota_account, quota_ledger, software_version, units};
 use parking_lot::Mutex;
 use snafu::Snafu;
 use tarpc::client;
 use tokio::sync::Notify;
 
-use crate::{message, quotas, service};
+use crate::{message, quotas, service, stream_book};
 
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Time in which the broker must respond: after the deadline of a request for a permit, otherwise
@@ -196,13 +196,48 @@
         let connection = self.connect(now).await?;
         let limit = service::deadline(RESPONSE_MARGIN);
         let reply = connection.charge_quota(limit, call).await;
-        reply.map_err(|error| match error {
+        reply.map_err(|error| self.record_late(&error, now))
+    }
+
+    /// Tells the broker of streams that have begun.
+    ///
+    /// # Errors
+    /// [`CallError`] when there is no response in time. The connection is kept then, as for quotas.
+    pub async fn record_streams(
+        &self,
+        starts: Vec<stream_book::StreamStart>,
+        now: units::Timestamp,
+    ) -> Result<(), CallError> {
+        let connection = self.connect(now).await?;
+        let limit = service::deadline(RESPONSE_MARGIN);
+        let reply = connection.record_streams(limit, starts).await;
+        reply.map_err(|error| self.record_late(&error, now))
+    }
+
+    /// Asks for the software version that began a stream; `None` if the broker does not know it.
+    ///
+    /// # Errors
+    /// [`CallError`] when there is no response in time. The connection is kept then, as for quotas.
+    pub async fn find_stream(
+        &self,
+        stream: u64,
+        now: units::Timestamp,
+    ) -> Result<Option<software_version::SoftwareVersion>, CallError> {
+        let connection = self.connect(now).await?;
+        let limit = service::deadline(RESPONSE_MARGIN);
+        let reply = connection.find_stream(limit, stream).await;
+        reply.map_err(|error| self.record_late(&error, now))
+    }
+
+    /// Drops the connection unless the call only had no response in time.
+    fn record_late(&self, error: &client::RpcError, now: units::Timestamp) -> CallError {
+        match error {
             client::RpcError::DeadlineExceeded => CallError::NoResponse {
                 message: error.to_string(),
                 has_ended: false,
             },
-            _ => self.disconnect(Vec::new(), &error, now),
-        })
+            _ => self.disconnect(Vec::new(), error, now),
+        }
     }
 
     async fn connect(&self, now: units::Timestamp) -> Result<service::BrokerRpcClient, CallError> {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod server;
 pub mod service;
 pub mod settings;
+pub mod stream_book;
--- a/crates/broker/src/server.rs
+++ b/crates/broker/src/server.rs
@@ -11,7 +11,7 @@
 use crate::{
     engine,
     engine_state::{self, MAX_MISSED_REPORTS},
-    message, metrics, process_clock, quotas, service, settings,
+    message, metrics, process_clock, quotas, service, settings, stream_book,
 };
 
 /// Interval of status reports while a load is pending.
@@ -380,7 +380,8 @@
     };
     let handler: Arc<dyn service::BrokerHandler> = Arc::clone(&broker) as _;
     let quotas = Arc::new(quotas::QuotaBook::new(broker.metrics.quota_decisions()));
-    let serving = service::serve(listen, handler, quotas);
+    let streams = Arc::new(stream_book::StreamBook::new());
+    let serving = service::serve(listen, handler, quotas, streams);
     let ((), (), served) = tokio::join!(broker.run(), exposed, serving);
     served
 }
--- a/crates/broker/src/service.rs
+++ b/crates/broker/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, sync::Arc, time};
 
-use decisions::quota_ledger;
+use decisions::{quota_ledger, software_version};
 use futures::{StreamExt, future::BoxFuture};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -12,7 +12,7 @@
     task,
 };
 
-use crate::{message, quotas};
+use crate::{message, quotas, stream_book};
 
 /// Maximum message length; calls are small, so a longer one is an error.
 const MAX_MESSAGE_BYTES: usize = 256 * 1024;
@@ -33,6 +33,10 @@
     ) -> quotas::QuotaHeartbeatReply;
     /// Charges a request to the quota of its organisation.
     async fn charge_quota(call: quotas::QuotaCall) -> quota_ledger::ChargeDecision;
+    /// Records starts of streams.
+    async fn record_streams(starts: Vec<stream_book::StreamStart>);
+    /// Software version that began a stream, if the broker knows it.
+    async fn find_stream(stream: u64) -> Option<software_version::SoftwareVersion>;
 }
 
 /// Broker side of [`BrokerRpc`], as a trait object for the listener.
@@ -47,6 +51,7 @@
 struct RpcAdapter {
     handler: Arc<dyn BrokerHandler>,
     quotas: Arc<dyn quotas::QuotaOwner>,
+    streams: Arc<dyn stream_book::StreamKeeper>,
 }
 
 impl BrokerRpc for RpcAdapter {
@@ -86,6 +91,18 @@
     ) -> quota_ledger::ChargeDecision {
         self.quotas.charge(&call)
     }
+
+    async fn record_streams(self, _: context::Context, starts: Vec<stream_book::StreamStart>) {
+        self.streams.record_streams(starts);
+    }
+
+    async fn find_stream(
+        self,
+        _: context::Context,
+        stream: u64,
+    ) -> Option<software_version::SoftwareVersion> {
+        self.streams.find_stream(stream)
+    }
 }
 
 /// Error of a broker's connection or listener.
@@ -152,12 +169,17 @@
     address: net::SocketAddr,
     handler: Arc<dyn BrokerHandler>,
     quotas: Arc<dyn quotas::QuotaOwner>,
+    streams: Arc<dyn stream_book::StreamKeeper>,
 ) -> Result<(), BrokerError> {
     let mut incoming = tcp::listen(address, formats::Bincode::default)
         .await
         .context(ListenSnafu { address })?;
     incoming.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-    let adapter = RpcAdapter { handler, quotas };
+    let adapter = RpcAdapter {
+        handler,
+        quotas,
+        streams,
+    };
     let mut channels = task::JoinSet::new();
     while let Some(transport) = incoming.next().await {
         let Ok(transport) = transport else { continue };
--- a/crates/decisions/src/quota_owner.rs
+++ b/crates/decisions/src/quota_owner.rs
@@ -7,6 +7,8 @@
 
 use xxhash_rust::xxh3;
 
+use crate::rendezvous;
+
 /// Hash that stands for an instance or an organisation in messages.
 #[must_use]
 pub fn hash_name(name: &str) -> u64 {
@@ -63,7 +65,7 @@
     pub fn choose(&self, organisation: u64) -> Option<net::SocketAddr> {
         let reachable = self.brokers.iter().filter(|broker| broker.is_reachable);
         let addresses = reachable.map(|broker| broker.address);
-        addresses.min_by_key(|address| rank(organisation, *address))
+        addresses.min_by_key(|address| rendezvous::rank(organisation, *address))
     }
 
     fn find(&self, address: net::SocketAddr) -> Option<usize> {
@@ -73,14 +75,3 @@
         found.ok()
     }
 }
-
-fn rank(organisation: u64, address: net::SocketAddr) -> u64 {
-    let mut bytes = [0; 18];
-    let ip = match address.ip() {
-        net::IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-        net::IpAddr::V6(ip) => ip,
-    };
-    bytes[..16].copy_from_slice(&ip.octets());
-    bytes[16..].copy_from_slice(&address.port().to_le_bytes());
-    xxh3::xxh3_64_with_seed(&bytes, organisation)
-}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,9 @@
 use std::{sync::Arc, time};
 
 use broker::process_clock;
-use decisions::{copy_age, lost_requests, prompt_quarantine, response_length, retry_budget, units};
+use decisions::{
+    copy_age, lost_requests, prompt_quarantine, response_length, retry_budget, stream_starts, units,
+};
 use http::response;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -36,6 +38,8 @@
     pub lengths: Mutex<response_length::ResponseLengths>,
     pub quarantine: Mutex<prompt_quarantine::PromptQuarantine>,
     pub lost_requests: Mutex<lost_requests::LostRequests>,
+    /// Streams that began at this gateway.
+    pub stream_starts: Mutex<stream_starts::StreamStarts>,
     /// Signals a crash that other gateways must learn of.
     pub crash_observed: Notify,
     pub pool: connections::ConnectionPool,
@@ -107,6 +111,7 @@
             lengths: Mutex::default(),
             quarantine: Mutex::new(prompt_quarantine(incarnation)),
             lost_requests: Mutex::default(),
+            stream_starts: Mutex::default(),
             crash_observed: Notify::new(),
             pool: connections::ConnectionPool::default(),
             request_logger: request_logger::RequestLogger::new(logger),
--- a/crates/gateway/src/execution.rs
+++ b/crates/gateway/src/execution.rs
@@ -15,6 +15,9 @@
     ) -> attempts::DispatchOutcome {
         self.budget.lock().record_request(&plan.service, self.now());
         let resume_after = plan.request.resume_after;
+        if let Err(reply) = self.find_stream_origin(plan).await {
+            return attempts::DispatchOutcome::Local(reply);
+        }
         loop {
             let attempt = self.attempt(plan, history, resume_after).await;
             let failure = match attempt {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -248,6 +248,7 @@
                 log_changes(&dispatcher, &changes);
                 if !changes.is_empty() {
                     heartbeats::refresh_quota_brokers(&dispatcher);
+                    dispatcher.review_stream_keepers();
                 }
                 wait_for_next_read(&dispatcher, interval, relisting.is_active(ended_at)).await;
             }
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -24,6 +24,7 @@
         let relays = &dispatcher.crash_relays();
         let engines = configured_engines(&dispatcher, |_| true);
         update_quota_brokers(&dispatcher, &engines);
+        dispatcher.review_stream_keepers();
         let views = stream::iter(engines).map(|(replica, spec)| {
             let dispatcher = Arc::clone(&dispatcher);
             async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,4 +53,6 @@
 pub mod settings;
 pub mod sse;
 pub mod store;
+mod stream_keepers;
+pub mod stream_origins;
 pub mod uploads;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 use telemetry::{labels, metrics};
 
-use crate::remote_traffic;
+use crate::{remote_traffic, stream_origins};
 
 /// Label of callers without a valid key.
 const UNKNOWN_ORGANISATION: &str = "unknown";
@@ -23,6 +23,8 @@
     over_limit: Counter<u64>,
     blocked_parts: Counter<u64>,
     replaced_histories: Counter<u64>,
+    stream_origins: Counter<u64>,
+    lost_stream_starts: Counter<u64>,
     organisation_refusals: Counter<u64>,
     charged_requests: Counter<u64>,
     charged_units: Counter<u64>,
@@ -57,6 +59,8 @@
             replaced_histories: meter
                 .u64_counter("gateway_store_histories_replaced")
                 .build(),
+            stream_origins: meter.u64_counter("gateway_streams_taken_up").build(),
+            lost_stream_starts: meter.u64_counter("gateway_stream_starts_lost").build(),
             organisation_refusals: meter.u64_counter("gateway_organisation_refusals").build(),
             charged_requests: meter.u64_counter("gateway_organisation_requests").build(),
             charged_units: meter.u64_counter("gateway_organisation_units").build(),
@@ -93,6 +97,18 @@
         self.blocked_parts.add(1, &[]);
     }
 
+    /// Counts a stream that a caller takes up, by how the version that began it was found.
+    pub fn record_stream_origin(&self, source: stream_origins::OriginSource) {
+        self.stream_origins
+            .add(1, &[KeyValue::new("source", source.label())]);
+    }
+
+    /// Counts starts of streams that one broker could not be told.
+    pub fn record_lost_stream_starts(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.lost_stream_starts.add(count, &[]);
+    }
+
     /// Counts a topic that is read anew because the store's history was replaced.
     pub fn record_replaced_history(&self, topic: &'static str) {
         self.replaced_histories
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -54,6 +54,8 @@
     pub generation: Option<GenerationRequest>,
     /// Id of the event after which a stream is resumed.
     pub resume_after: Option<u64>,
+    /// Attempt of the caller that brought the first event of the stream that it takes up.
+    pub origin: Option<String>,
     pub credential: CallerCredential,
     /// Tokens of prompt and response together, if the caller declares them.
     pub declared_tokens: Option<u64>,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -169,12 +169,15 @@
         self.timing.longest_gap = self.timing.longest_gap.max(gap);
     }
 
-    /// Binds the stream to the software version that wrote its first event.
+    /// Binds the stream to the software version that wrote its first event, and records it for callers
+    /// that take the stream up.
     fn bind_to_software(&mut self) {
-        if let Some(attempt) = &self.attempt {
-            let software = &attempt.replica.software;
-            self.plan.software.get_or_insert_with(|| software.clone());
-        }
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let software = &attempt.replica.software;
+        self.plan.software.get_or_insert_with(|| software.clone());
+        self.dispatcher.record_stream_start(&self.plan, software);
     }
 
     /// Records once that the request does not crash its replica.
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -8,7 +8,7 @@
 
 use std::{net, time};
 
-use decisions::{data_centre_choice, departures, replica_notices, units};
+use decisions::{data_centre_choice, departures, replica_notices, software_history, units};
 
 use crate::{held_records, remote_traffic, replica, store};
 
@@ -61,6 +61,8 @@
     pub(crate) remote: remote_traffic::RemoteTraffic,
     pub(crate) departures: departures::Departures,
     pub(crate) held: held_records::HeldRecords,
+    /// Software versions that were listed.
+    pub(crate) software: software_history::SoftwareHistory,
     /// Position after the newest batch; a complete listing read before it removes nothing.
     pub(crate) next: store::StorePosition,
 }
@@ -80,6 +82,7 @@
             ),
             departures: departures::Departures::default(),
             held: held_records::HeldRecords::default(),
+            software: software_history::SoftwareHistory::default(),
             next: store::StorePosition::default(),
         }
     }
--- a/crates/gateway/src/request_logger.rs
+++ b/crates/gateway/src/request_logger.rs
@@ -4,7 +4,7 @@
 
 use telemetry::events;
 
-use crate::{access_refusal, local_reply, plan, replica};
+use crate::{access_refusal, local_reply, plan, replica, stream_origins};
 
 /// Timing of a stream's events.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -127,6 +127,20 @@
             "request" => &plan.request.id, "from" => from, "to" => to, "after" => after);
     }
 
+    /// Logs a stream that a caller takes up, with the software version that began it.
+    pub fn log_stream_origin(
+        &self,
+        plan: &plan::RequestPlan,
+        search: &stream_origins::OriginSearch,
+    ) {
+        slog::info!(self.logger, "stream taken up";
+            "event" => events::STREAM_TAKEN_UP.number, "name" => events::STREAM_TAKEN_UP.name,
+            "request" => &plan.request.id, "origin" => &plan.request.origin,
+            "software" => search.software.as_ref().map(ToString::to_string),
+            "source" => search.source.label(), "asked" => search.asked,
+            "answered" => search.answered, "after" => plan.request.resume_after);
+    }
+
     /// Logs a stream that was aborted after its head was sent.
     pub fn log_broken_stream(&self, plan: &plan::RequestPlan, replica: &str, reason: &str) {
         slog::warn!(self.logger, "stream aborted";
--- a/crates/gateway/src/route_match.rs
+++ b/crates/gateway/src/route_match.rs
@@ -27,7 +27,9 @@
         let route = current
             .route(&request.host, path)
             .ok_or(local_reply::LocalReply::NO_ROUTE)?;
-        let hash = xxh3::xxh3_64(request.id.as_bytes());
+        // A stream that is taken up stays with the service that began it.
+        let begun_by = request.origin.as_ref().unwrap_or(&request.id);
+        let hash = xxh3::xxh3_64(begun_by.as_bytes());
         let service = route
             .service(hash)
             .ok_or(local_reply::LocalReply::NO_ROUTE)?;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -50,6 +50,7 @@
     CONFIGURATION_OUTDATED = 315, "configuration_outdated";
     QUOTA_REFUSED = 320, "quota_refused";
     QUOTA_OWNER_LOST = 321, "quota_owner_lost";
+    STREAM_TAKEN_UP = 322, "stream_taken_up";
     ADAPTER_LOADED = 401, "adapter_loaded";
     ADAPTER_EVICTED = 402, "adapter_evicted";
     ADAPTER_LOAD_FAILED = 403, "adapter_load_failed";
