Close gaps of the search for the version that began a stream

- A gap in the listings of replicas did not end the span for which a service counts as having one version, so a version that came and left meanwhile went unseen.
A gap of 6 s begins the span anew, by the clock that counts suspension.
- The sole version was taken although no broker had answered.
A gateway that is cut off from all of them now refuses.
- The span was shorter than the time for which callers may take a stream up.
Both come from one function now, which also bounds the time that a caller states (10 minutes).
- A broker that restarted between two reviews, or missed a call, was not told again.
Failed calls are counted, and a new count makes the broker one that must be told.
- A change of brokers ranked all of them for each stream; now only for streams whose brokers have changed.
- A permit that was granted after the replica had started anew with other software was used; now it is given back.
- `software_gone` and Retry-After counted the replicas of other versions.

--- a/crates/broker/src/client.rs
+++ b/crates/broker/src/client.rs
@@ -65,6 +65,8 @@
     /// The broker's process had ended at the last failure.
     has_ended: bool,
     released: Vec<u64>,
+    /// Number of failed calls and connections.
+    losses: u64,
 }
 
 /// Client of one broker.
@@ -98,6 +100,12 @@
         now >= self.state.lock().retry_at
     }
 
+    /// Number of failed calls and connections. The broker may have restarted at each.
+    #[must_use]
+    pub fn losses(&self) -> u64 {
+        self.state.lock().losses
+    }
+
     /// Queues the release of a permit for the next call.
     pub fn release(&self, number: u64) {
         self.state.lock().released.push(number);
@@ -232,10 +240,13 @@
     /// Drops the connection unless the call only had no response in time.
     fn record_late(&self, error: &client::RpcError, now: units::Timestamp) -> CallError {
         match error {
-            client::RpcError::DeadlineExceeded => CallError::NoResponse {
-                message: error.to_string(),
-                has_ended: false,
-            },
+            client::RpcError::DeadlineExceeded => {
+                self.state.lock().losses += 1;
+                CallError::NoResponse {
+                    message: error.to_string(),
+                    has_ended: false,
+                }
+            }
             _ => self.disconnect(Vec::new(), error, now),
         }
     }
@@ -259,6 +270,7 @@
             }
             Err(source) => {
                 let mut state = self.state.lock();
+                state.losses += 1;
                 state.retry_at = now + CONNECT_TIMEOUT + RETRY_DELAY;
                 state.has_ended = source.is_refused();
                 Err(CallError::Connect { source })
@@ -278,6 +290,7 @@
             client::RpcError::Shutdown | client::RpcError::Channel(_)
         );
         let mut state = self.state.lock();
+        state.losses += 1;
         state.released.extend(released);
         state.connection = None;
         state.retry_at = now + RETRY_DELAY;
--- a/crates/broker/src/stream_book.rs
+++ b/crates/broker/src/stream_book.rs
@@ -11,9 +11,6 @@
 
 use crate::process_clock;
 
-/// Maximum time for which a stream is kept.
-const MAX_KEEP_TIME: time::Duration = time::Duration::from_mins(10);
-
 /// Stream that has begun at a replica.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamStart {
@@ -61,7 +58,7 @@
         let now = self.clock.now();
         let mut origins = self.origins.lock();
         for start in starts {
-            let keep_until = now + start.keep.min(MAX_KEEP_TIME);
+            let keep_until = now + start.keep.min(stream_origins::MAX_KEEP_TIME);
             origins.insert(start.stream, start.software, keep_until, now);
         }
     }
--- a/crates/decisions/src/software_history.rs
+++ b/crates/decisions/src/software_history.rs
@@ -9,7 +9,7 @@
 
 /// Age of the newest listing beyond which another version may have come meanwhile; above the longest
 /// interval between two listings.
-const MAX_LISTING_AGE: time::Duration = time::Duration::from_secs(6);
+pub const MAX_LISTING_AGE: time::Duration = time::Duration::from_secs(6);
 /// Maximum number of versions of one service; the one that was listed last the longest ago yields.
 const MAX_VERSIONS: usize = 64;
 /// Maximum number of services. Those beyond count as services with several versions.
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
     services: BTreeMap<String, ServiceVersions>,
-    /// Time of the first listing.
+    /// Time of the first listing after the last gap.
     listed_since: Option<units::Timestamp>,
     /// Time of the newest listing.
     listed_at: units::Timestamp,
@@ -35,7 +35,10 @@
         listed: impl Iterator<Item = (&'a str, &'a SoftwareVersion)>,
         now: units::Timestamp,
     ) {
-        self.listed_since.get_or_insert(now);
+        if self.listed_since.is_none() || now.since(self.listed_at) >= MAX_LISTING_AGE {
+            // Another version may have come and left since.
+            self.listed_since = Some(now);
+        }
         self.listed_at = now;
         for (service, software) in listed {
             self.record_version(service, software, now);
--- a/crates/decisions/src/stream_starts.rs
+++ b/crates/decisions/src/stream_starts.rs
@@ -10,11 +10,19 @@
 /// Number of brokers that are told of a stream, so that the loss of one does not matter.
 const KEEPER_COUNT: usize = 2;
 
+/// Broker that may be told of streams.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StreamKeeper {
+    pub address: net::SocketAddr,
+    /// Number of failed calls to it, after each of which it may have forgotten what it was told.
+    pub losses: u64,
+}
+
 #[derive(Clone, Debug)]
 struct StartedStream {
     software: SoftwareVersion,
     /// Brokers that were told.
-    told: Vec<net::SocketAddr>,
+    told: Vec<StreamKeeper>,
 }
 
 /// Start of a stream that a broker is to be told.
@@ -32,7 +40,7 @@
 pub struct StreamStarts {
     streams: expiring_map::ExpiringMap<StartedStream>,
     /// Brokers that were available at the newest review, sorted.
-    available: Vec<net::SocketAddr>,
+    available: Vec<StreamKeeper>,
 }
 
 impl StreamStarts {
@@ -41,16 +49,15 @@
         &mut self,
         stream: u64,
         software: SoftwareVersion,
-        keep_until: units::Timestamp,
+        keep: time::Duration,
         now: units::Timestamp,
     ) -> Vec<StreamNotice> {
         let mut started = StartedStream {
             software,
             told: Vec::new(),
         };
-        let keep = keep_until.since(now);
         let notices = notices(&mut started, stream, keep, &self.available);
-        self.streams.insert(stream, started, keep_until, now);
+        self.streams.insert(stream, started, now + keep, now);
         notices
     }
 
@@ -61,60 +68,70 @@
     }
 
     /// Takes over the brokers that are available now, and returns what they are to be told. One that was
-    /// away may have forgotten what it was told.
+    /// lost since may have forgotten what it was told.
     pub fn review(
         &mut self,
-        mut available: Vec<net::SocketAddr>,
+        mut available: Vec<StreamKeeper>,
         now: units::Timestamp,
     ) -> Vec<StreamNotice> {
         available.sort_unstable();
-        available.dedup();
+        available.dedup_by_key(|keeper| keeper.address);
         if available == self.available {
             return Vec::new();
         }
+        let is_known = |keeper: &&StreamKeeper| self.available.binary_search(keeper).is_ok();
+        let added = available.iter().filter(|keeper| !is_known(keeper));
+        let added: Vec<StreamKeeper> = added.copied().collect();
         self.available = available;
         let mut all = Vec::new();
         for (stream, keep_until, started) in self.streams.iter_mut(now) {
-            let is_available = |broker: &net::SocketAddr| self.available.contains(broker);
+            let is_available = |keeper: &StreamKeeper| self.available.binary_search(keeper).is_ok();
             started.told.retain(is_available);
-            all.extend(notices(
-                started,
-                stream,
-                keep_until.since(now),
-                &self.available,
-            ));
+            if started.needs_notice(stream, &added) {
+                let keep = keep_until.since(now);
+                all.extend(notices(started, stream, keep, &self.available));
+            }
         }
         all
     }
 }
 
+impl StartedStream {
+    /// Whether a broker that came is to be told, or too few of those that were told are left.
+    fn needs_notice(&self, stream: u64, added: &[StreamKeeper]) -> bool {
+        let rank = |keeper: &StreamKeeper| rendezvous::rank(stream, keeper.address);
+        let last = self.told.iter().map(rank).max();
+        let comes_before = |keeper: &StreamKeeper| last.is_none_or(|last| rank(keeper) < last);
+        self.told.len() < KEEPER_COUNT || added.iter().any(comes_before)
+    }
+}
+
 /// Notices to the first brokers that have not been told of a stream.
 fn notices(
     started: &mut StartedStream,
     stream: u64,
     keep: time::Duration,
-    available: &[net::SocketAddr],
+    available: &[StreamKeeper],
 ) -> Vec<StreamNotice> {
     let mut ranked: Vec<_> = available
         .iter()
-        .map(|broker| (rendezvous::rank(stream, *broker), *broker))
+        .map(|keeper| (rendezvous::rank(stream, keeper.address), *keeper))
         .collect();
     if ranked.len() > KEEPER_COUNT {
         ranked.select_nth_unstable(KEEPER_COUNT);
         ranked.truncate(KEEPER_COUNT);
     }
     let mut notices = Vec::new();
-    for (_, broker) in ranked {
-        if started.told.contains(&broker) {
-            continue;
+    for (_, keeper) in &ranked {
+        if !started.told.contains(keeper) {
+            notices.push(StreamNotice {
+                broker: keeper.address,
+                stream,
+                software: started.software.clone(),
+                keep,
+            });
         }
-        started.told.push(broker);
-        notices.push(StreamNotice {
-            broker,
-            stream,
-            software: started.software.clone(),
-            keep,
-        });
     }
+    started.told = ranked.into_iter().map(|(_, keeper)| keeper).collect();
     notices
 }
--- a/crates/decisions/tests/software_history.rs
+++ b/crates/decisions/tests/software_history.rs
@@ -50,6 +50,16 @@
     assert_eq!(history.sole_version("matching", SPAN, later), None);
 }
 
+// Guards against a version that came and left while the gateway was cut off from the store.
+#[test]
+fn gap_between_two_listings_proves_nothing() {
+    let (mut history, now) = history(&[(&["v1"], 25)]);
+    let later = now + Duration::from_secs(15);
+    let version = SoftwareVersion::new("v1");
+    history.record([("matching", &version)].into_iter(), later);
+    assert_eq!(history.sole_version("matching", SPAN, later), None);
+}
+
 // Guards against a history whose memory grows with the names that replicas state.
 #[test]
 fn versions_beyond_the_limit_are_still_several() {
--- a/crates/decisions/tests/stream_starts.rs
+++ b/crates/decisions/tests/stream_starts.rs
@@ -6,7 +6,7 @@
     rendezvous,
     software_version::SoftwareVersion,
     stream_origins::{StreamOrigins, stream_id},
-    stream_starts::{StreamNotice, StreamStarts},
+    stream_starts::{StreamKeeper, StreamNotice, StreamStarts},
     units::Timestamp,
 };
 use proptest::prelude::*;
@@ -18,8 +18,15 @@
     SocketAddr::from(([10, 0, 0, number], 7000))
 }
 
-fn brokers(numbers: impl Iterator<Item = u8>) -> Vec<SocketAddr> {
-    numbers.map(broker).collect()
+fn keeper(number: u8) -> StreamKeeper {
+    StreamKeeper {
+        address: broker(number),
+        losses: 0,
+    }
+}
+
+fn keepers(numbers: impl Iterator<Item = u8>) -> Vec<StreamKeeper> {
+    numbers.map(keeper).collect()
 }
 
 fn version() -> SoftwareVersion {
@@ -34,11 +41,13 @@
 #[test]
 fn stream_is_told_to_others_when_its_brokers_leave() {
     let mut starts = StreamStarts::default();
-    assert!(starts.review(brokers(0..6), NOW).is_empty());
+    assert!(starts.review(keepers(0..6), NOW).is_empty());
     let stream = stream_id("matching", "attempt");
-    let first = told(&starts.record(stream, version(), NOW + KEEP, NOW));
+    let first = told(&starts.record(stream, version(), KEEP, NOW));
     assert_eq!(first.len(), 2);
-    let left = brokers(0..6).into_iter().filter(|one| !first.contains(one));
+    let left = keepers(0..6)
+        .into_iter()
+        .filter(|one| !first.contains(&one.address));
     let later = NOW + Duration::from_secs(5);
     let notices = starts.review(left.collect(), later);
     assert_eq!(notices.len(), 2);
@@ -46,26 +55,43 @@
     assert!(notices.iter().all(|notice| notice.stream == stream
         && notice.software == version()
         && notice.keep == Duration::from_secs(10)));
-    assert!(starts.review(brokers(0..6), NOW + KEEP).is_empty());
+    assert!(starts.review(keepers(0..6), NOW + KEEP).is_empty());
 }
 
 // Guards against a broker that has restarted and is not told again what it has forgotten.
 #[test]
 fn broker_that_was_away_is_told_again() {
     let mut starts = StreamStarts::default();
-    starts.review(brokers(0..2), NOW);
+    starts.review(keepers(0..2), NOW);
+    let stream = stream_id("matching", "attempt");
+    starts.record(stream, version(), KEEP, NOW);
+    assert!(starts.review(keepers(0..1), NOW).is_empty());
+    assert_eq!(told(&starts.review(keepers(0..2), NOW)), [broker(1)]);
+    assert!(starts.review(keepers(0..2), NOW).is_empty());
+}
+
+// Guards against a broker that restarts between two reviews, or did not get the call, and is not told
+// again.
+#[test]
+fn broker_with_a_failed_call_is_told_again() {
+    let mut starts = StreamStarts::default();
+    starts.review(keepers(0..2), NOW);
     let stream = stream_id("matching", "attempt");
-    starts.record(stream, version(), NOW + KEEP, NOW);
-    assert!(starts.review(brokers(0..1), NOW).is_empty());
-    assert_eq!(told(&starts.review(brokers(0..2), NOW)), brokers(1..2));
-    assert!(starts.review(brokers(0..2), NOW).is_empty());
+    starts.record(stream, version(), KEEP, NOW);
+    let lost = StreamKeeper {
+        losses: 1,
+        ..keeper(1)
+    };
+    let notices = starts.review(vec![keeper(0), lost], NOW);
+    assert_eq!(told(&notices), [broker(1)]);
+    assert!(starts.review(vec![keeper(0), lost], NOW).is_empty());
 }
 
 // Guards against streams of two services, or of two attempts, that share what is known of them.
 #[test]
 fn streams_of_other_services_and_attempts_are_unknown() {
     let mut starts = StreamStarts::default();
-    starts.record(stream_id("matching", "one"), version(), NOW + KEEP, NOW);
+    starts.record(stream_id("matching", "one"), version(), KEEP, NOW);
     let find = |service, attempt, at| starts.find(stream_id(service, attempt), at);
     assert_eq!(find("matching", "one", NOW), Some(&version()));
     assert_eq!(find("matching", "two", NOW), None);
@@ -117,29 +143,33 @@
     // Guards against a stream that no available broker knows after series of losses and returns.
     #[test]
     fn first_brokers_always_know_a_stream(
-        sets in prop::collection::vec(prop::collection::btree_set(0u8..12, 0..12), 1..20),
+        sets in prop::collection::vec(prop::collection::btree_map(0u8..12, 0u64..3, 0..12), 1..20),
         streams in prop::collection::vec(any::<u64>(), 1..5),
     ) {
         let mut starts = StreamStarts::default();
-        let mut memories: BTreeMap<SocketAddr, Vec<u64>> = BTreeMap::new();
+        let mut memories: BTreeMap<StreamKeeper, Vec<u64>> = BTreeMap::new();
         let mut begun = Vec::new();
         for (position, set) in sets.iter().enumerate() {
-            let available = brokers(set.iter().copied());
-            // A broker that is away forgets everything.
+            let available: Vec<_> = set
+                .iter()
+                .map(|(number, losses)| StreamKeeper { losses: *losses, ..keeper(*number) })
+                .collect();
+            // A broker that is away, or was lost since, forgets everything.
             memories.retain(|known, _| available.contains(known));
             let mut notices = starts.review(available.clone(), NOW);
             if let Some(stream) = streams.get(position) {
-                notices.extend(starts.record(*stream, version(), NOW + KEEP, NOW));
+                notices.extend(starts.record(*stream, version(), KEEP, NOW));
                 begun.push(*stream);
             }
             for notice in notices {
-                memories.entry(notice.broker).or_default().push(notice.stream);
+                let told = available.iter().find(|one| one.address == notice.broker);
+                memories.entry(*told.unwrap()).or_default().push(notice.stream);
             }
             for stream in &begun {
                 let mut ranked = available.clone();
-                ranked.sort_by_key(|one| rendezvous::rank(*stream, *one));
-                for keeper in ranked.iter().take(2) {
-                    prop_assert!(memories.get(keeper).is_some_and(|known| known.contains(stream)));
+                ranked.sort_by_key(|one| rendezvous::rank(*stream, one.address));
+                for first in ranked.iter().take(2) {
+                    prop_assert!(memories.get(first).is_some_and(|known| known.contains(stream)));
                 }
             }
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,11 +3,12 @@
 use std::time;
 
 use broker::message;
-use decisions::quota_owner;
+use decisions::{quota_owner, units};
 use tokio::time::Instant;
 
 use crate::{
     attempts, broker_permit, catalog, dispatch, local_reply, plan, replica, replica_selection,
+    replica_table,
 };
 
 /// Time from the start of a request at an engine to its first event at the caller.
@@ -55,11 +56,7 @@
             });
         };
         let mut excluded = history.excluded().to_vec();
-        let pause = self
-            .replicas
-            .lock()
-            .shortest_pause(&plan.service, self.now());
-        let no_replica = missing_replica(plan, pause);
+        let no_replica = missing_replica(&self.replicas.lock(), plan, self.now());
         let mut refusal = no_replica;
         let (mut asked_count, mut replaced_count) = (0, 0);
         while asked_count < MAX_PERMIT_REQUESTS && replaced_count < MAX_REPLACED_ENGINES {
@@ -98,10 +95,7 @@
         let replicas = self.replicas.lock();
         let chosen = replicas.choose_service(&plan.into(), history.excluded(), now);
         chosen.map_err(|refusal| match refusal {
-            replica_selection::ServiceRefusal::NoReplica => {
-                let pause = replicas.shortest_pause(&plan.service, now);
-                missing_replica(plan, pause)
-            }
+            replica_selection::ServiceRefusal::NoReplica => missing_replica(&replicas, plan, now),
             replica_selection::ServiceRefusal::Full { retry_after } => {
                 local_reply::LocalReply::replicas_full(retry_after)
             }
@@ -146,7 +140,7 @@
         let mut replicas = self.replicas.lock();
         match reply.decision {
             message::PermitDecision::Granted { version }
-                if replicas.accepts_requests(&replica.id, now) =>
+                if replicas.has_software(&replica.id, &replica.software, now) =>
             {
                 Ok(AssignedReplica {
                     replica,
@@ -154,7 +148,7 @@
                     version,
                 })
             }
-            // The replica started to drain while the request waited for its adapter.
+            // The replica started to drain, or started anew with other software, while the request waited for its adapter.
             message::PermitDecision::Granted { .. } => {
                 self.request_logger
                     .log_failed_attempt(plan, &replica.id, "leaving", true);
@@ -227,11 +221,15 @@
 
 /// Local reply to a request for which there is no replica.
 fn missing_replica(
+    replicas: &replica_table::ReplicaTable,
     plan: &plan::RequestPlan,
-    pause: Option<time::Duration>,
+    now: units::Timestamp,
 ) -> local_reply::LocalReply {
-    if plan.software.is_some() && pause.is_none() {
+    let software = plan.software.as_ref();
+    let is_listed = |needed| replicas.lists_software(&plan.service, needed, now);
+    if !software.is_none_or(is_listed) {
         return local_reply::LocalReply::SOFTWARE_GONE;
     }
+    let pause = replicas.shortest_pause(&plan.service, software, now);
     local_reply::LocalReply::no_replica(pause)
 }
--- a/crates/gateway/src/replica_table.rs
+++ b/crates/gateway/src/replica_table.rs
@@ -8,7 +8,9 @@
 
 use std::{net, time};
 
-use decisions::{data_centre_choice, departures, replica_notices, software_history, units};
+use decisions::{
+    data_centre_choice, departures, replica_notices, software_history, software_version, units,
+};
 
 use crate::{held_records, remote_traffic, replica, store};
 
@@ -126,12 +128,18 @@
         brokers.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// Shortest time until a replica of a service wants requests again, if all that could take them
-    /// have asked for a pause.
+    /// Shortest time until a replica of a service, and of a software version if one is needed, wants
+    /// requests again, if all that could take them have asked for a pause.
     #[must_use]
-    pub fn shortest_pause(&self, service: &str, now: units::Timestamp) -> Option<time::Duration> {
+    pub fn shortest_pause(
+        &self,
+        service: &str,
+        software: Option<&software_version::SoftwareVersion>,
+        now: units::Timestamp,
+    ) -> Option<time::Duration> {
         let replicas = self.replicas.iter().filter(|replica| {
             replica.record.service == service
+                && software.is_none_or(|needed| replica.record.software == *needed)
                 && replica.accepts_requests(now)
                 && !self.is_leaving(replica)
         });
--- a/crates/gateway/src/replica_updates.rs
+++ b/crates/gateway/src/replica_updates.rs
@@ -21,7 +21,7 @@
         now: units::Timestamp,
     ) -> Vec<ReplicaTableChange> {
         // Replicas that leave with this batch have served until now.
-        self.record_software(now);
+        self.record_software();
         let mut changes = Vec::new();
         let is_new_history = batch.next.history != self.next.history;
         if is_new_history {
@@ -56,7 +56,7 @@
             changes.extend(self.remove_missing(&listed, keep_until, now));
         }
         self.next.offset = self.next.offset.max(batch.next.offset);
-        self.record_software(now);
+        self.record_software();
         changes
     }
 
@@ -70,14 +70,6 @@
         changes
     }
 
-    fn record_software(&mut self, now: units::Timestamp) {
-        let listed = self.replicas.iter().map(|replica| {
-            let record = &replica.record;
-            (record.service.as_str(), &record.software)
-        });
-        self.software.record(listed, now);
-    }
-
     /// Applies a record from the first listing of a history, which may be older than what is known.
     fn apply_returned(
         &mut self,
--- a/crates/gateway/src/stream_keepers.rs
+++ b/crates/gateway/src/stream_keepers.rs
@@ -3,24 +3,28 @@
 use std::{net, sync::Arc, time};
 
 use broker::client;
-use decisions::{rendezvous, software_version, units};
+use decisions::{rendezvous, software_version, stream_starts, units};
 
-use crate::{replica, replica_table};
+use crate::{boot_clock, replica, replica_table};
 
 impl replica_table::ReplicaTable {
-    /// Addresses of the brokers that may be told of streams: those that respond and do not leave.
+    /// Brokers that may be told of streams: those that respond and do not leave.
     #[must_use]
     pub fn available_brokers(
         &self,
         engine_services: &[String],
         now: units::Timestamp,
-    ) -> Vec<net::SocketAddr> {
+    ) -> Vec<stream_starts::StreamKeeper> {
         let available = self.engines(engine_services).filter(|replica| {
             replica.accepts_requests(now)
                 && !self.is_leaving(replica)
                 && replica.broker.is_reachable(now)
         });
-        available.map(|replica| replica.broker.address()).collect()
+        let keepers = available.map(|replica| stream_starts::StreamKeeper {
+            address: replica.broker.address(),
+            losses: replica.broker.losses(),
+        });
+        keepers.collect()
     }
 
     /// Broker at an address.
@@ -61,11 +65,51 @@
         &self,
         service: &str,
         span: time::Duration,
-        now: units::Timestamp,
     ) -> Option<software_version::SoftwareVersion> {
+        let now = boot_clock::now();
         self.software.sole_version(service, span, now)
     }
 
+    /// Records the software versions of all replicas, by the clock that counts suspension: another
+    /// version may come meanwhile.
+    pub(crate) fn record_software(&mut self) {
+        let listed = self.replicas.iter().map(|replica| {
+            let record = &replica.record;
+            (record.service.as_str(), &record.software)
+        });
+        self.software.record(listed, boot_clock::now());
+    }
+
+    /// Whether a replica has a software version and may still be sent requests.
+    #[must_use]
+    pub fn has_software(
+        &self,
+        id: &str,
+        software: &software_version::SoftwareVersion,
+        now: units::Timestamp,
+    ) -> bool {
+        let found = self.find(id).ok();
+        found.is_some_and(|position| self.replicas[position].record.software == *software)
+            && self.accepts_requests(id, now)
+    }
+
+    /// Whether a replica of a service that does not leave has a software version.
+    #[must_use]
+    pub fn lists_software(
+        &self,
+        service: &str,
+        software: &software_version::SoftwareVersion,
+        now: units::Timestamp,
+    ) -> bool {
+        let mut replicas = self.replicas.iter();
+        replicas.any(|replica| {
+            replica.record.service == service
+                && replica.record.software == *software
+                && replica.accepts_requests(now)
+                && !self.is_leaving(replica)
+        })
+    }
+
     fn engines(&self, engine_services: &[String]) -> impl Iterator<Item = &replica::Replica> {
         let replicas = self.replicas.iter();
         replicas.filter(|replica| engine_services.contains(&replica.record.service))
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time};
 
 use broker::stream_book;
-use decisions::{software_version, stream_origins, stream_starts};
+use decisions::{software_history, software_version, stream_origins, stream_starts};
 use futures::{StreamExt, stream::FuturesUnordered};
 
 use crate::{catalog, dispatch, local_reply, plan};
@@ -16,13 +16,6 @@
 const ASKED_COUNT: usize = 5;
 /// Maximum number of streams in one call, well below the maximum length of a message.
 const MAX_STARTS: usize = 1000;
-/// Shortest time for which the start of a stream is kept. A caller that takes it up may count its time
-/// to wait anew.
-const MIN_KEEP_TIME: time::Duration = time::Duration::from_secs(30);
-/// Shortest time for which a service must have had one version before a stream of unknown origin may
-/// go on at it; as long as most streams last.
-const MIN_SOLE_SPAN: time::Duration = time::Duration::from_secs(20);
-
 /// How the version that began a stream was found.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum OriginSource {
@@ -79,11 +72,10 @@
             return;
         }
         let stream = stream_origins::stream_id(&plan.service, &plan.request.id);
-        let wait = plan.request.deadline.unwrap_or(plan.route.timeout);
-        let keep = wait.max(MIN_KEEP_TIME);
+        let keep = stream_span(plan);
         let now = self.now();
         let mut starts = self.stream_starts.lock();
-        let notices = starts.record(stream, software.clone(), now + keep, now);
+        let notices = starts.record(stream, software.clone(), keep, now);
         drop(starts);
         self.send_notices(notices);
     }
@@ -144,10 +136,12 @@
             let stream = stream_origins::stream_id(&plan.service, attempt);
             self.search_records(stream, &mut search).await;
         }
-        if search.software.is_none() {
-            let span = plan.route.timeout.max(MIN_SOLE_SPAN);
+        // A gateway that is cut off from all brokers may not know of another version either.
+        let is_cut_off = search.asked > 0 && search.answered == 0;
+        if search.software.is_none() && !is_cut_off {
+            let span = stream_span(plan) + software_history::MAX_LISTING_AGE;
             let replicas = self.replicas.lock();
-            if let Some(software) = replicas.sole_software(&plan.service, span, self.now()) {
+            if let Some(software) = replicas.sole_software(&plan.service, span) {
                 search.set_found(software, OriginSource::SoleVersion);
             }
         }
@@ -196,3 +190,9 @@
         keep: notice.keep,
     }
 }
+
+/// Time within which the caller of a stream may take it up.
+fn stream_span(plan: &plan::RequestPlan) -> time::Duration {
+    let wait = plan.request.deadline.unwrap_or(plan.route.timeout);
+    stream_origins::keep_time(wait.max(plan.route.timeout))
+}
