--- a/crates/gateway/src/held_records.rs
+++ b/crates/gateway/src/held_records.rs
@@ -47,7 +47,7 @@
     }
 
     /// Drops the record of a replica, because a newer one was written.
-    pub(crate) fn replace(&mut self, id: &str) {
+    pub(crate) fn drop_record(&mut self, id: &str) {
         self.records.retain(|held| held.record.id != id);
     }
 
--- a/crates/gateway/src/replica_updates.rs
+++ b/crates/gateway/src/replica_updates.rs
@@ -41,7 +41,7 @@
                     changes.extend(change);
                 }
                 store::ReplicaChange::Removed { id } => {
-                    self.held.replace(&id);
+                    self.held.drop_record(&id);
                     match keep_until {
                         Some(until) => self.mark_missing(&id, offset, until),
                         None => changes.extend(self.remove(&id, offset, now)),
@@ -109,7 +109,7 @@
     fn upsert(&mut self, offset: u64, record: store::ReplicaRecord) -> Option<ReplicaTableChange> {
         let id = record.id.clone();
         self.remote.add_data_centre(&record.data_centre);
-        self.held.replace(&id);
+        self.held.drop_record(&id);
         self.departures.forget(&id);
         match self.find(&id) {
             Ok(position) => self.replicas[position].update_record(offset, record),
