End the known span of software versions when the store's history is replaced

The span now begins anew with each history. `ended_span_proves_nothing_until_it_is_long_enough_again` covers the decision.

--- a/crates/decisions/src/software_history.rs
+++ b/crates/decisions/src/software_history.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Ends the known span, because the listings may leave out versions that have served.
+    pub fn end_span(&mut self) {
+        self.listed_since = None;
+    }
+
     fn record_version(&mut self, service: &str, software: &SoftwareVersion, now: units::Timestamp) {
         if !self.services.contains_key(service) {
             if self.services.len() >= MAX_SERVICES {
--- a/crates/decisions/tests/software_history.rs
+++ b/crates/decisions/tests/software_history.rs
@@ -60,6 +60,20 @@
     assert_eq!(history.sole_version("matching", SPAN, later), None);
 }
 
+// Guards against a version that a store has lost, for a while, with its return from an older copy.
+#[test]
+fn ended_span_proves_nothing_until_it_is_long_enough_again() {
+    let (mut history, mut now) = history(&[(&["v1"], 25)]);
+    let version = SoftwareVersion::new("v1");
+    history.end_span();
+    for second in 0..=20 {
+        history.record([("matching", &version)].into_iter(), now);
+        let sole = history.sole_version("matching", SPAN, now);
+        assert_eq!(sole, (second == 20).then(|| version.clone()));
+        now = now + Duration::from_secs(1);
+    }
+}
+
 // Guards against a history whose memory grows with the names that replicas state.
 #[test]
 fn versions_beyond_the_limit_are_still_several() {
--- a/crates/gateway/src/replica_updates.rs
+++ b/crates/gateway/src/replica_updates.rs
@@ -126,6 +126,8 @@
     fn begin_history(&mut self, history: u64) {
         self.next = store::StorePosition { history, offset: 0 };
         self.held.clear();
+        // An older copy may lack replicas of another software version.
+        self.software.end_span();
         for replica in &mut self.replicas {
             replica.offset = 0;
         }
