Take broken streams up again in the soak of the signals

The soak played one software version, no kills, and callers that did not take streams up again, so that streams joined from two versions could not show.

A second test of signal_soak plays one to three versions at the engines, with kills, suspensions, replaced and restarted engines, and the changes of the first test. Callers take broken streams up again at any gateway. All events of a stream must come from one version, in order, none missing or twice. In calm periods, in which only gateways are killed, take-ups at versions with two listed replicas must bring an event at least half as often as new streams do.

--- a/tests/signal_soak.rs
+++ b/tests/signal_soak.rs
@@ -1,15 +1,17 @@
 //! Signals, restarts, changes and returns of the store from older copies in overlapping series, while
 //! callers keep their connections open.
 //!
-//! Nothing is killed or suspended, so that every request which a gateway has read must be answered,
-//! and one whose connection closes without an answer must not have run. `SOAK_SEEDS=FIRST-LAST` plays
-//! other seeds, and `SOAK_PROCESSES=N` with about N processes.
+//! In the first test nothing is killed or suspended, so that every request which a gateway has read must
+//! be answered, and one whose connection closes without an answer must not have run. In the second one
+//! processes are killed and suspended as well and engines change their software version, while callers
+//! take broken streams up again. `SOAK_SEEDS=FIRST-LAST` plays other seeds, and `SOAK_PROCESSES=N` with
+//! about N processes.
 
 #[allow(dead_code)]
 mod support;
 
 use std::{
-    env,
+    env, iter,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -22,10 +24,16 @@
     deployment,
     replica::ReplicaFault,
 };
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand::{
+    Rng, SeedableRng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use support::platform_cluster::PlatformCluster;
+use support::{
+    platform_cluster::{EngineListing, PlatformCluster},
+    stream_caller::{CalmPeriod, SharedCalm, StreamCaller, StreamTries, TryCounts},
+};
 use tokio::task;
 
 /// Seeds that are played unless `SOAK_SEEDS` names others.
@@ -44,6 +52,19 @@
 const EVENT_COUNT: u64 = 5;
 /// Pause of a caller whose gateway does not listen.
 const RECONNECT_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Series of signals in the test of the software versions, each with a calm period after it.
+const ROUND_COUNT: usize = 2;
+const STEPS_PER_ROUND: usize = 15;
+/// Longest time for which a process runs on after SIGTERM.
+const LEAVE_TIME: time::Duration = time::Duration::from_secs(5);
+/// Time for which streams run in a calm period before gateways are killed.
+const STREAM_TIME: time::Duration = time::Duration::from_millis(700);
+const KILLS_PER_PERIOD: usize = 2;
+/// Time for which requests are counted after killed gateways are ready again.
+const COUNTED_TIME: time::Duration = time::Duration::from_millis(500);
+/// Number of take-ups from which their share is compared.
+const MIN_COMPARED: usize = 12;
+const SOFTWARE_VERSIONS: [&str; 4] = ["v1", "v2", "v3", "v4"];
 
 const FAULTS: [ReplicaFault; 5] = [
     ReplicaFault::None,
@@ -227,6 +248,204 @@
     }
 }
 
+/// Kills or suspends processes, replaces the software of an engine, or makes another change.
+fn make_hard_change(system: &mut PlatformCluster, generator: &mut ChaCha8Rng) {
+    let number = generator.random_range(0..system.roles.len());
+    match generator.random_range(0..16) {
+        0..2 => system.roles[number].kill(),
+        2 => system.roles[number].suspend(),
+        3 => {
+            system.kill_gateways();
+            system.restart();
+        }
+        4..6 => replace_engine(system, generator),
+        6 => restart_engine(system, generator),
+        7 => {
+            let fault = *[ReplicaFault::None, ReplicaFault::BreakStream]
+                .choose(generator)
+                .unwrap();
+            let engines = &system.platform.engines;
+            engines.choose(generator).unwrap().set_fault(fault);
+        }
+        _ => make_change(system, generator),
+    }
+}
+
+/// Engine with a state.
+fn choose_engine(
+    system: &PlatformCluster,
+    listing: EngineListing,
+    generator: &mut ChaCha8Rng,
+) -> Option<usize> {
+    let numbers = 0..system.listings.len();
+    let matching = numbers.filter(|number| system.listings[*number] == listing);
+    matching.choose(generator)
+}
+
+/// Lists an engine with a drawn version, drains another one and removes those that drained before.
+fn replace_engine(system: &mut PlatformCluster, generator: &mut ChaCha8Rng) {
+    let old = choose_engine(system, EngineListing::Ready, generator);
+    for listing in &mut system.listings {
+        if *listing == EngineListing::Draining {
+            *listing = EngineListing::Absent;
+        }
+    }
+    if let Some(new) = choose_engine(system, EngineListing::Absent, generator) {
+        let version = SOFTWARE_VERSIONS.choose(generator).unwrap();
+        system.platform.engines[new].restart_as(version);
+        system.listings[new] = EngineListing::Ready;
+    }
+    if let Some(old) = old {
+        system.listings[old] = EngineListing::Draining;
+    }
+    system.list_replicas();
+}
+
+/// Restarts a listed engine with a drawn version.
+fn restart_engine(system: &mut PlatformCluster, generator: &mut ChaCha8Rng) {
+    if let Some(number) = choose_engine(system, EngineListing::Ready, generator) {
+        let version = SOFTWARE_VERSIONS.choose(generator).unwrap();
+        system.platform.engines[number].restart_as(version);
+        system.list_replicas();
+    }
+}
+
+/// Versions with two listed replicas or more.
+fn versions_in_pairs(system: &PlatformCluster) -> Vec<String> {
+    let pairs = iter::zip(&system.platform.engines, &system.listings);
+    let ready = pairs.filter(|(_, listing)| **listing == EngineListing::Ready);
+    let mut versions: Vec<_> = ready.map(|(engine, _)| engine.software_version()).collect();
+    versions.sort_unstable();
+    let groups = versions.chunk_by(|one, other| one == other);
+    let repeated = groups.filter(|group| group.len() >= 2);
+    repeated.map(|group| group[0].clone()).collect()
+}
+
+/// Ends all faults, and kills one gateway or all while streams run; requests after a kill are counted.
+async fn play_calm_period(
+    system: &mut PlatformCluster,
+    calm: &SharedCalm,
+    generator: &mut ChaCha8Rng,
+) {
+    let limit = time::Instant::now() + LEAVE_TIME;
+    while time::Instant::now() < limit {
+        system.end_faults();
+        tokio::time::sleep(STEP_TIME).await;
+    }
+    wait_until_ready(system).await;
+    tokio::time::sleep(APPLY_TIME).await;
+    *calm.lock() = Some(CalmPeriod {
+        since: time::Instant::now(),
+        versions: versions_in_pairs(system),
+        is_counted: false,
+    });
+    for _ in 0..KILLS_PER_PERIOD {
+        set_counted(calm, false);
+        tokio::time::sleep(STREAM_TIME).await;
+        if generator.random() {
+            system.kill_gateways();
+        } else {
+            system.roles.last_mut().unwrap().kill();
+        }
+        set_counted(calm, true);
+        wait_until_ready(system).await;
+        tokio::time::sleep(COUNTED_TIME).await;
+    }
+    *calm.lock() = None;
+}
+
+fn set_counted(calm: &SharedCalm, is_counted: bool) {
+    if let Some(period) = calm.lock().as_mut() {
+        period.is_counted = is_counted;
+    }
+}
+
+async fn send_streams(mut caller: StreamCaller, is_over: Arc<AtomicBool>) -> Vec<StreamTries> {
+    let mut streams = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        streams.push(caller.play_stream(streams.len()).await);
+    }
+    streams
+}
+
+async fn start_versions(generator: &mut ChaCha8Rng) -> PlatformCluster {
+    let gateway_count = (process_count() / 3).max(2);
+    let versions = &SOFTWARE_VERSIONS[..generator.random_range(1..=3)];
+    let versions = versions.iter().copied().cycle();
+    let versions: Vec<_> = versions.take(process_count() - gateway_count).collect();
+    PlatformCluster::start_versions(gateway_count, &versions).await
+}
+
+async fn play_versions(seed: u64) {
+    let mut generator = ChaCha8Rng::seed_from_u64(seed);
+    let mut system = start_versions(&mut generator).await;
+    let (is_over, calm) = (Arc::new(AtomicBool::new(false)), SharedCalm::default());
+    let mut callers = task::JoinSet::new();
+    for number in 0..system.gateways.len() * CALLERS_PER_GATEWAY {
+        let caller = StreamCaller {
+            name: format!("stream-{number}"),
+            gateways: system.gateways.clone(),
+            adapter_count: system.platform.engines.len() * deployment::PRELOADED_ADAPTERS,
+            generator: ChaCha8Rng::seed_from_u64(generator.random()),
+            calm: Arc::clone(&calm),
+        };
+        callers.spawn(send_streams(caller, Arc::clone(&is_over)));
+    }
+    for _ in 0..ROUND_COUNT {
+        for step in 0..STEPS_PER_ROUND {
+            if system.is_rewriting && generator.random() {
+                system.rewrite();
+            }
+            make_hard_change(&mut system, &mut generator);
+            if step % 5 == 4 {
+                system.restart();
+            }
+            tokio::time::sleep(STEP_TIME).await;
+        }
+        play_calm_period(&mut system, &calm, &mut generator).await;
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let streams: Vec<_> = callers.join_all().await.into_iter().flatten().collect();
+    check_streams(&system, &streams, seed);
+}
+
+fn check_streams(system: &PlatformCluster, streams: &[StreamTries], seed: u64) {
+    let [mut begun, mut taken_up] = [TryCounts::default(); 2];
+    let [mut calm_begun, mut calm_taken_up] = [TryCounts::default(); 2];
+    for stream in streams {
+        stream.count(&mut begun, false, false);
+        stream.count(&mut taken_up, true, false);
+        stream.count(&mut calm_begun, false, true);
+        stream.count(&mut calm_taken_up, true, true);
+    }
+    println!("seed {seed}: {} streams", streams.len());
+    println!("new streams: {begun}; in calm periods: {calm_begun}");
+    println!("take-ups: {taken_up}; in calm periods: {calm_taken_up}");
+    for stream in streams {
+        stream.check();
+        for request in stream.requests() {
+            let runs = system.platform.count_runs(request);
+            assert!(runs <= 2, "seed {seed}: {runs} runs of {request}");
+        }
+    }
+    if calm_taken_up.made >= MIN_COMPARED {
+        let (shares, half) = (
+            calm_taken_up.successful * calm_begun.made,
+            calm_begun.successful,
+        );
+        assert!(2 * shares >= half * calm_taken_up.made, "seed {seed}");
+    }
+}
+
+// Guards against streams that are joined from two software versions, or refused though theirs still
+// serves, when callers take them up after kills of gateways.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_taken_up_at_one_software_version() {
+    for seed in seeds() {
+        play_versions(seed).await;
+    }
+}
+
 // Guards against requests that are read and lost at a shutdown, against an end by SIGHUP or by a second
 // signal, and against answers that are wrong about a run.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod process;
 pub mod relay;
 pub mod service;
+pub mod stream_caller;
 
 use std::{future::Future, time};
 
--- a/tests/support/platform_cluster.rs
+++ b/tests/support/platform_cluster.rs
@@ -1,6 +1,6 @@
 //! Gateways and brokers that run as processes in front of a stand-in deployment.
 
-use std::net;
+use std::{iter, net};
 
 use platform_wire::stand_in::{
     caller::{self, TestRequest, TestResponse},
@@ -21,10 +21,20 @@
     is_suspended: bool,
 }
 
+/// State of an engine in the store's list of replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineListing {
+    Absent,
+    Ready,
+    Draining,
+}
+
 /// Running gateways and brokers with their stand-ins.
 pub struct PlatformCluster {
     directory: tempfile::TempDir,
     pub platform: StandInDeployment,
+    /// State of each engine.
+    pub listings: Vec<EngineListing>,
     pub roles: Vec<RoleProcess>,
     pub gateways: Vec<net::SocketAddr>,
     ready: Vec<net::SocketAddr>,
@@ -41,6 +51,27 @@
         let platform = StandInDeployment::start_with(engine_count, deployment::PLAIN_REPLICA_COUNT)
             .await
             .unwrap();
+        let listings = vec![EngineListing::Ready; usize::from(engine_count)];
+        Self::start_roles(platform, listings, gateway_count).await
+    }
+
+    /// Starts all processes with an engine of each of the software versions, and waits until the
+    /// gateways are ready. The last engine is not listed.
+    pub async fn start_versions(gateway_count: usize, versions: &[&str]) -> Self {
+        let platform =
+            StandInDeployment::start_versions(versions, deployment::PLAIN_REPLICA_COUNT).await;
+        let platform = platform.unwrap();
+        let mut listings = vec![EngineListing::Ready; versions.len() - 1];
+        listings.push(EngineListing::Absent);
+        platform.remove_replica(&platform.engines.last().unwrap().id());
+        Self::start_roles(platform, listings, gateway_count).await
+    }
+
+    async fn start_roles(
+        platform: StandInDeployment,
+        listings: Vec<EngineListing>,
+        gateway_count: usize,
+    ) -> Self {
         let broker_port = process::free_address().port();
         let mut roles = Vec::new();
         for (number, engine) in platform.engines.iter().enumerate() {
@@ -70,6 +101,7 @@
         let mut system = Self {
             directory: tempfile::tempdir().unwrap(),
             platform,
+            listings,
             roles,
             gateways,
             ready,
@@ -103,6 +135,26 @@
         }
     }
 
+    /// Kills all gateways.
+    pub fn kill_gateways(&mut self) {
+        let roles = self.roles.iter_mut();
+        for gateway in roles.filter(|role| role.command == "gateway") {
+            gateway.kill();
+        }
+    }
+
+    /// Writes the records of all replicas.
+    pub fn list_replicas(&self) {
+        for (engine, listing) in iter::zip(&self.platform.engines, &self.listings) {
+            match listing {
+                EngineListing::Absent => self.platform.remove_replica(&engine.id()),
+                EngineListing::Ready => self.platform.list_engine(engine, false),
+                EngineListing::Draining => self.platform.list_engine(engine, true),
+            }
+        }
+        self.platform.list_plain_replicas();
+    }
+
     /// Copies the store.
     pub fn copy_store(&mut self) {
         self.copy = self.platform.store.copy();
@@ -117,7 +169,7 @@
     /// Writes again what a return of the store has lost.
     pub fn rewrite(&mut self) {
         self.platform.publish_configuration(self.version, true);
-        self.platform.list_replicas(0);
+        self.list_replicas();
         self.is_rewriting = false;
     }
 
@@ -152,7 +204,7 @@
         {
             replica.set_fault(ReplicaFault::None);
         }
-        self.platform.list_replicas(0);
+        self.list_replicas();
         self.restart();
     }
 
