Review the keepers of streams at each start of one

A gateway that has just started told nobody of its first streams until the next round of heartbeats, up to half a second later or more, since the brokers were reviewed only there and at changes of replicas. They are reviewed at each start of a stream now; a review that finds the same brokers costs a comparison.

What is refused still is not traced.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -72,6 +72,8 @@
             return;
         }
         let stream = stream_origins::stream_id(&plan.service, &plan.request.id);
+        // A gateway that has just started may not have reviewed its brokers yet.
+        self.review_stream_keepers();
         let keep = stream_span(plan);
         let now = self.now();
         let mut starts = self.stream_starts.lock();
