Refuse take-ups like new streams while a gateway knows no replica

The soak's refused take-ups came within 46 ms of a gateway's start and said `stream_origin_unknown`, though no broker had been asked.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -126,10 +126,16 @@
         self.metrics.record_stream_origin(search.source);
         self.request_logger.log_stream_origin(plan, &search);
         plan.software = search.software;
-        match plan.software {
-            Some(_) => Ok(()),
-            None => Err(local_reply::LocalReply::STREAM_ORIGIN_UNKNOWN),
+        if plan.software.is_some() {
+            return Ok(());
         }
+        // A gateway that has just started knows no broker to ask.
+        let has_replicas = self.replicas.lock().available_count(self.now()) > 0;
+        Err(if has_replicas {
+            local_reply::LocalReply::STREAM_ORIGIN_UNKNOWN
+        } else {
+            local_reply::LocalReply::NO_REPLICA
+        })
     }
 
     async fn search_origin(&self, plan: &plan::RequestPlan) -> OriginSearch {
