--- a/crates/gateway/src/local_reply.rs
+++ b/crates/gateway/src/local_reply.rs
@@ -35,10 +35,10 @@
     pub const BUFFERS_FULL: Self = Self::not_run("buffers_full", BUFFER_RETRY_DELAY);
     /// All engines that were asked have restarted under other ids.
     pub const ENGINE_REPLACED: Self = Self::not_run("engine_replaced", REPLICA_READ_DELAY);
-    /// Nobody knows the software version that began the stream, or none of its replicas is left. The
-    /// caller may begin the stream anew.
+    /// Nobody knows the software version that began the stream. The caller may begin it anew.
     pub const STREAM_ORIGIN_UNKNOWN: Self =
         Self::not_run("stream_origin_unknown", STARTUP_RETRY_DELAY);
+    /// No replica of the software version that began the stream is left. The caller may begin it anew.
     pub const SOFTWARE_GONE: Self = Self::not_run("software_gone", STARTUP_RETRY_DELAY);
     /// The copy of the configuration is too old to decide by the caller's key.
     pub const COPY_OUTDATED: Self = Self::not_run("copy_outdated", COPY_READ_DELAY);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -148,7 +148,8 @@
                     version,
                 })
             }
-            // The replica started to drain, or started anew with other software, while the request waited for its adapter.
+            // The replica started to drain, or anew with other software, while the request waited
+            // for its adapter.
             message::PermitDecision::Granted { .. } => {
                 self.request_logger
                     .log_failed_attempt(plan, &replica.id, "leaving", true);
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -16,6 +16,7 @@
 const ASKED_COUNT: usize = 5;
 /// Maximum number of streams in one call, well below the maximum length of a message.
 const MAX_STARTS: usize = 1000;
+
 /// How the version that began a stream was found.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum OriginSource {
